--- /dev/null
+++ b/src/include/briarwind/cluster.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "briarwind/host_list.h"
+#include "briarwind/shape.h"
+
+#include <string>
+#include <vector>
+
+namespace briarwind {
+
+/// One worker as the host list describes it.
+struct worker_info
+{
+  std::string mName;
+  std::string mDomain;
+  std::string mRack;
+  std::string mRegion;
+  resource_shape mCapacity;
+  bool mLeaving = false; ///< takes no new work
+
+  bool operator==(const worker_info&) const = default;
+};
+
+/// The workers of a host list, sorted by name; a name listed twice counts once.
+std::vector<worker_info> WorkersOf(const host_list& aList);
+
+} // namespace briarwind
