Jobs: first whole version of the scheduling core

Submission, records, gangs under reservations, guaranteed cells, eviction, draining reservations, quarantine, withdrawal, takeover and explain, as one pure object: events in, actions out.

--- a/src/include/briarwind/job_options.h
+++ b/src/include/briarwind/job_options.h
@@ -22,6 +22,13 @@
   kLeastAttained,    ///< the job that was served least so far
 };
 
+/// Which of the workers with room a gang takes.
+enum class packing : std::uint8_t
+{
+  kBestFit,  ///< those that leave the least room over
+  kFirstFit, ///< the first ones by name
+};
+
 /// Tuning of the core. The defaults are what the scheduler ships with.
 struct job_options
 {
@@ -30,7 +37,7 @@
   milliseconds mLeaseTimeToLive{ 10000 };
   milliseconds mRenewEvery{ 3000 };       ///< per worker; spread over the ticks
   milliseconds mLapseMargin{ 500 };       ///< added before a lease without an answer counts as gone
-  milliseconds mCheckpointBound{ 30000 }; ///< for evictions and withdrawals
+  milliseconds mCheckpointBound{ 10000 }; ///< for evictions and withdrawals
   milliseconds mUrgentCheckpointBound{ 500 };
   milliseconds mRetryDelay{ 500 }; ///< after an aborted attempt, doubled up to the cap
   milliseconds mRetryDelayCap{ 60000 };
@@ -38,16 +45,24 @@
 
   guarantee_policy mGuarantees = guarantee_policy::kCells;
   queue_order mOrder = queue_order::kShortestEstimate;
+  packing mPacking = packing::kBestFit;
   bool mLearnRunTimes = true;
   bool mDrainForGangs = true;
-  minutes mGangPatience{ 10 }; ///< a job that waited this long may reserve draining workers
-  int mDrainingJobs = 2;       ///< how many may at once
-  int mDrainingPercent = 50;   ///< of the live accelerators that they may hold together
-  int mAttemptsPerEvent = 16;  ///< placements tried before the next event is taken
+  minutes mGangPatience{ 10 };   ///< a job that waited this long may reserve draining workers
+  int mDrainingJobs = 2;         ///< how many may at once
+  int mDrainingPercent = 50;     ///< of the live accelerators that they may hold together
+  int mReservingMembers = 1024;  ///< members being reserved or started at once, over all jobs
+  minutes mWithdrawalGrace{ 5 }; ///< for work without checkpoints that ends within it
+  int mAttemptsPerEvent = 16;    ///< placements tried before the next event is taken
+
+  int mMostJobs = 20000;      ///< jobs that are not over; more are refused
+  double mEstimateWeight = 1; ///< kShortestEstimate: a job overtakes one that arrived earlier by
+                              ///< less than this much of the difference of their run times
 
   int mJobFailures = 3;          ///< failures on different workers that make a job failed
   int mQuarantineAfter = 3;      ///< failures of a worker without a success in between
   int mQuarantinePercent = 10;   ///< of the workers, at most
+  seconds mProbeTime{ 60 };      ///< a probe that runs this long has succeeded
   seconds mQuarantineTime{ 60 }; ///< before the first probe; doubled after each failed one
 };
 
--- /dev/null
+++ b/src/libjobs/cell_table.cpp
@@ -0,0 +1,293 @@
+#include "libjobs/cell_table.h"
+
+#include "libjobs/job_entry.h"
+#include "libjobs/resources.h"
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+#include <tuple>
+
+namespace briarwind {
+
+namespace {
+
+bool SameDemand(const cell_demand& aLeft, const cell_demand& aRight)
+{
+  return aLeft.mOrganisation == aRight.mOrganisation && aLeft.mGuarantee == aRight.mGuarantee &&
+         aLeft.mCopy == aRight.mCopy;
+}
+
+bool Holds(const cell_demand& aDemand, const job_spec& aSpec)
+{
+  return aDemand.mOrganisation == aSpec.mOrganisation && aDemand.mMembers >= aSpec.mMembers &&
+         FitsInto(aSpec.mShape, aDemand.mShape) && aDemand.mAdjacency >= aSpec.mAdjacency;
+}
+
+} // namespace
+
+std::vector<job_entry*> cell_table::SetDemands(std::vector<cell_demand> aDemands)
+{
+  std::vector<job_entry*> without;
+  std::vector<bound_cell> cells;
+  for (const cell_demand& each : aDemands) {
+    cells.push_back({ each, {}, nullptr });
+  }
+  for (bound_cell& before : mCells) {
+    const auto same = [&](const bound_cell& aCell) {
+      return SameDemand(aCell.mDemand, before.mDemand);
+    };
+    const auto found = std::ranges::find_if(cells, same);
+    const bool kept = found != cells.end() && found->mDemand == before.mDemand;
+    if (kept) {
+      found->mPlace = std::move(before.mPlace);
+      found->mClaim = before.mClaim;
+      if (found->mClaim != nullptr) {
+        found->mClaim->mCell = static_cast<int>(found - cells.begin());
+      }
+    } else if (before.mClaim != nullptr) {
+      without.push_back(before.mClaim);
+    }
+  }
+  mCells = std::move(cells);
+  mDemands = std::move(aDemands);
+  mPlannedFor.clear();
+  return without;
+}
+
+int cell_table::FindFor(const job_entry& aJob) const
+{
+  int best = -1;
+  const auto cost = [](const bound_cell& aCell) {
+    return std::tuple(aCell.mPlace.empty(),
+                      aCell.mDemand.mMembers * aCell.mDemand.mShape.mAccelerators,
+                      aCell.mDemand.mMembers * aCell.mDemand.mShape.mCores);
+  };
+  for (std::size_t i = 0; i < mCells.size(); ++i) {
+    if (mCells[i].mClaim != nullptr || !Holds(mCells[i].mDemand, aJob.Spec())) {
+      continue;
+    }
+    if (best < 0 || cost(mCells[i]) < cost(mCells[static_cast<std::size_t>(best)])) {
+      best = static_cast<int>(i);
+    }
+  }
+  return best;
+}
+
+bool cell_table::IsPlanFor(const cluster_table& aCluster) const
+{
+  std::size_t listed = 0;
+  const auto workers = aCluster.Workers();
+  for (worker_index i = 0; i < workers.size(); ++i) {
+    if (!workers[i].mListed) {
+      continue;
+    }
+    ++listed;
+    if (i >= mSiteOf.size() || mSiteOf[i] >= mPlannedFor.size()) {
+      return false;
+    }
+    const worker_info& before = mPlannedFor[mSiteOf[i]];
+    const worker_info& now = workers[i].mInfo;
+    // Whether it is leaving does not matter for where the homes are.
+    if (before.mName != now.mName || before.mDomain != now.mDomain || before.mRack != now.mRack ||
+        before.mCapacity != now.mCapacity) {
+      return false;
+    }
+  }
+  return listed == mPlannedFor.size();
+}
+
+void cell_table::Plan(const cluster_table& aCluster)
+{
+  const auto workers = aCluster.Workers();
+  mWorkerOf.clear();
+  for (worker_index i = 0; i < workers.size(); ++i) {
+    if (workers[i].mListed) {
+      mWorkerOf.push_back(i);
+    }
+  }
+  std::ranges::sort(mWorkerOf, {}, [&](worker_index aWorker) -> const std::string& {
+    return workers[aWorker].mInfo.mName;
+  });
+  mPlannedFor.clear();
+  mSiteOf.assign(workers.size(), ~std::uint32_t{ 0 });
+  for (std::uint32_t site = 0; site < mWorkerOf.size(); ++site) {
+    mPlannedFor.push_back(workers[mWorkerOf[site]].mInfo);
+    mSiteOf[mWorkerOf[site]] = site;
+  }
+  mSites = SitesOf(mPlannedFor);
+  mHomes = BindHomes(mDemands, mSites);
+  mAheadPlanned.assign(mSites.size(), {});
+  const auto raise = [&](const std::vector<cell_place>& aPlaces) {
+    std::vector<resource_shape> total(mSites.size());
+    for (std::size_t i = 0; i < aPlaces.size(); ++i) {
+      for (const cell_share& each : aPlaces[i]) {
+        total[each.mSite] = total[each.mSite] + mDemands[i].mShape * each.mMembers;
+      }
+    }
+    std::ranges::transform(mAheadPlanned, total, mAheadPlanned.begin(), MostOf);
+  };
+  raise(mHomes);
+  mAlternates.clear();
+  std::uint32_t domains = 0;
+  for (const cell_site& each : mSites) {
+    domains = std::max(domains, each.mDomain + 1);
+  }
+  for (std::uint32_t domain = 0; domain < domains && !mDemands.empty(); ++domain) {
+    std::vector<bool> out;
+    std::ranges::transform(mSites, std::back_inserter(out),
+                           [&](const cell_site& aSite) { return aSite.mDomain == domain; });
+    mAlternates.push_back(BindAround(mDemands, mSites, mHomes, out));
+    raise(mAlternates.back());
+  }
+}
+
+cell_place cell_table::ToPlace(const placement& aPlacement) const
+{
+  cell_place place;
+  for (const placement_part& each : aPlacement) {
+    if (each.mWorker >= mSiteOf.size() || mSiteOf[each.mWorker] >= mSites.size()) {
+      return {};
+    }
+    place.push_back({ mSiteOf[each.mWorker], each.mMembers });
+  }
+  return place;
+}
+
+placement cell_table::ToPlacement(const cell_place& aPlace) const
+{
+  placement parts;
+  for (const cell_share& each : aPlace) {
+    parts.push_back({ mWorkerOf[each.mSite], each.mMembers });
+  }
+  return parts;
+}
+
+const cell_place* cell_table::AlternateFor(std::size_t aCell, const cluster_table& aCluster) const
+{
+  std::uint32_t domain = ~std::uint32_t{ 0 };
+  for (const cell_share& each : mHomes[aCell]) {
+    if (aCluster.IsSound(aCluster.At(mWorkerOf[each.mSite]))) {
+      continue;
+    }
+    if (domain != ~std::uint32_t{ 0 } && domain != mSites[each.mSite].mDomain) {
+      return nullptr;
+    }
+    domain = mSites[each.mSite].mDomain;
+  }
+  return domain < mAlternates.size() ? &mAlternates[domain][aCell] : nullptr;
+}
+
+std::vector<cell_place> cell_table::BindNow(const cluster_table& aCluster, bool aPinned) const
+{
+  std::vector<resource_shape> room;
+  for (const worker_index worker : mWorkerOf) {
+    const worker_slot& slot = aCluster.At(worker);
+    const resource_shape& firm = slot.mByTenure[static_cast<int>(tenure::kFirm)];
+    room.push_back(aCluster.IsSound(slot) ? slot.mInfo.mCapacity - firm : resource_shape{});
+  }
+  cell_binder binder(mSites, std::move(room));
+  std::vector<cell_place> places(mCells.size());
+  const auto take = [&](std::size_t aCell, const cell_place& aPlace) {
+    places[aCell] = aPlace;
+    binder.Take(mCells[aCell].mDemand, aPlace);
+  };
+  const auto takeIfFits = [&](std::size_t aCell, const cell_place& aPlace) {
+    if (places[aCell].empty() && binder.Fits(mCells[aCell].mDemand, aPlace)) {
+      take(aCell, aPlace);
+    }
+  };
+  const auto forAll = [&](const auto& aDo) {
+    for (std::size_t i = 0; i < mCells.size(); ++i) {
+      aDo(i);
+    }
+  };
+  forAll([&](std::size_t aCell) {
+    const job_entry* claim = mCells[aCell].mClaim;
+    if (claim != nullptr && (aPinned || !claim->Spec().mRepeatable)) {
+      take(aCell, ToPlace(mCells[aCell].mPlace));
+    }
+  });
+  forAll([&](std::size_t aCell) { takeIfFits(aCell, mHomes[aCell]); });
+  forAll([&](std::size_t aCell) {
+    const cell_place* alternate = AlternateFor(aCell, aCluster);
+    if (alternate != nullptr) {
+      takeIfFits(aCell, *alternate);
+    }
+  });
+  forAll([&](std::size_t aCell) { takeIfFits(aCell, ToPlace(mCells[aCell].mPlace)); });
+  forAll([&](std::size_t aCell) {
+    if (places[aCell].empty()) {
+      take(aCell, binder.Search(mCells[aCell].mDemand));
+    }
+  });
+  return places;
+}
+
+std::vector<job_entry*> cell_table::Rebind(cluster_table& aCluster)
+{
+  if (!IsPlanFor(aCluster)) {
+    Plan(aCluster);
+  }
+  const auto unmet = [](const std::vector<cell_place>& aPlaces) {
+    return std::ranges::count_if(aPlaces, &cell_place::empty);
+  };
+  std::vector<cell_place> places = BindNow(aCluster, true);
+  if (unmet(places) > 0) {
+    std::vector<cell_place> moved = BindNow(aCluster, false);
+    if (unmet(moved) < unmet(places)) {
+      places = std::move(moved);
+    }
+  }
+  std::vector<job_entry*> displaced;
+  mMoved = 0;
+  for (std::size_t i = 0; i < mCells.size(); ++i) {
+    bound_cell& cell = mCells[i];
+    const bool same = ToPlace(cell.mPlace) == places[i];
+    if (same) {
+      continue;
+    }
+    ++mMoved;
+    cell.mPlace = ToPlacement(places[i]);
+    if (cell.mClaim != nullptr) {
+      displaced.push_back(cell.mClaim);
+    }
+  }
+  WriteTotals(aCluster);
+  return displaced;
+}
+
+void cell_table::Move(int aCell, placement aPlace, cluster_table& aCluster)
+{
+  mCells[static_cast<std::size_t>(aCell)].mPlace = std::move(aPlace);
+  WriteTotals(aCluster);
+}
+
+void cell_table::WriteTotals(cluster_table& aCluster) const
+{
+  for (worker_index i = 0; i < aCluster.Workers().size(); ++i) {
+    aCluster.At(i).mCells = {};
+    aCluster.At(i).mCellsAhead = {};
+  }
+  for (std::uint32_t site = 0; site < mWorkerOf.size(); ++site) {
+    aCluster.At(mWorkerOf[site]).mCellsAhead = mAheadPlanned[site];
+  }
+  for (const bound_cell& each : mCells) {
+    for (const placement_part& part : each.mPlace) {
+      worker_slot& slot = aCluster.At(part.mWorker);
+      slot.mCells = slot.mCells + each.mDemand.mShape * part.mMembers;
+    }
+  }
+  for (worker_index i = 0; i < aCluster.Workers().size(); ++i) {
+    worker_slot& slot = aCluster.At(i);
+    slot.mCellsAhead = MostOf(slot.mCellsAhead, slot.mCells);
+  }
+}
+
+int cell_table::Unmet() const
+{
+  return static_cast<int>(
+    std::ranges::count_if(mCells, [](const bound_cell& aCell) { return aCell.mPlace.empty(); }));
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libjobs/core_drain.cpp
@@ -0,0 +1,191 @@
+#include "libjobs/core_state.h"
+
+#include "libjobs/resources.h"
+
+#include <algorithm>
+#include <map>
+
+namespace briarwind {
+
+/// Remembers which of the jobs that found no room in this pass needs a draining reservation most.
+void job_core::state::ConsiderDrain(job_entry& aJob)
+{
+  const bool noRoom =
+    aJob.mWait == wait_reason::kNoCapacity || aJob.mWait == wait_reason::kNoAdjacency;
+  const duration waited = mNow - aJob.mArrived;
+  if (!mOptions.mDrainForGangs || !noRoom || waited < mOptions.mGangPatience ||
+      !aJob.Spec().mRepeatable) {
+    return;
+  }
+  const double size = std::max(1, aJob.Accelerators()) +
+                      static_cast<double>(aJob.Spec().mMembers * aJob.Spec().mShape.mCores) / 64;
+  const double score = size * std::chrono::duration<double>(waited).count();
+  if (mDrainCandidate == nullptr || score > mDrainScore) {
+    mDrainCandidate = &aJob;
+    mDrainScore = score;
+  }
+}
+
+void job_core::state::BeginDrain()
+{
+  job_entry* const job = mDrainCandidate;
+  mDrainCandidate = nullptr;
+  if (job == nullptr || static_cast<int>(mDrains.size()) >= mOptions.mDrainingJobs) {
+    return;
+  }
+  int held = job->Accelerators();
+  for (const drain& each : mDrains) {
+    held += each.mJob->Accelerators();
+  }
+  const int most = mCluster.LiveCapacity().mAccelerators * mOptions.mDrainingPercent / 100;
+  if (held > most && !mDrains.empty()) {
+    return;
+  }
+  std::optional<drain> planned = PlanDrain(*job);
+  if (!planned) {
+    return;
+  }
+  mQueue.Remove(*job);
+  for (const placement_part& each : planned->mParts) {
+    mCluster.Hold(each.mWorker, job->Spec().mShape * each.mMembers);
+  }
+  job->mHasDrain = true;
+  Wait(*job, wait_reason::kDraining, "first worker " + NameOf(planned->mParts.front().mWorker));
+  Note(decision_kind::kDraining, job->Spec().mId, NameOf(planned->mParts.front().mWorker));
+  mDrains.push_back(std::move(*planned));
+}
+
+bool job_core::state::IsReady(const drain& aDrain) const
+{
+  return std::ranges::all_of(aDrain.mParts, [&](const placement_part& aPart) {
+    const worker_slot& worker = mCluster.At(aPart.mWorker);
+    return FitsInto(aDrain.mJob->Spec().mShape * aPart.mMembers,
+                    mCluster.Room(worker, room_kind::kFreeHeld));
+  });
+}
+
+void job_core::state::ServeDrains()
+{
+  if (!CanPlace()) {
+    return;
+  }
+  std::vector<drain> drains(mDrains.begin(), mDrains.end());
+  for (const drain& each : drains) {
+    const bool out = std::ranges::any_of(each.mParts, [&](const placement_part& aPart) {
+      return !mCluster.IsSound(mCluster.At(aPart.mWorker));
+    });
+    job_entry& job = *each.mJob;
+    if (out) {
+      EndDrain(job);
+      Enqueue(job);
+    } else if (IsReady(each) && !IsOverQuota(job)) {
+      BeginAttempt(job, each.mParts, job.Spec().mUrgent ? tenure::kUrgent : tenure::kBorrowed, -1);
+      ReserveAll(job);
+    }
+  }
+}
+
+void job_core::state::EndDrain(job_entry& aJob)
+{
+  if (!aJob.mHasDrain) {
+    return;
+  }
+  aJob.mHasDrain = false;
+  const auto found = std::ranges::find(mDrains, &aJob, &drain::mJob);
+  for (const placement_part& each : found->mParts) {
+    mCluster.Unhold(each.mWorker, aJob.Spec().mShape * each.mMembers);
+  }
+  mDrains.erase(found);
+  mRoomChanged = true;
+}
+
+namespace {
+
+/// Room for so many more members at one instant.
+struct freeing
+{
+  instant mWhen;
+  worker_index mWorker = 0;
+  int mSlots = 0;
+};
+
+} // namespace
+
+/// Picks the group of workers in which the gang has room first, going by the estimates of what runs
+/// there.
+std::optional<drain> job_core::state::PlanDrain(job_entry& aJob) const
+{
+  const resource_shape& shape = aJob.Spec().mShape;
+  std::map<std::uint32_t, std::vector<freeing>> groups;
+  const auto groupOf = [&](worker_index aWorker) -> std::uint32_t {
+    switch (aJob.Spec().mAdjacency) {
+      case adjacency::kWorker:
+        return aWorker;
+      case adjacency::kRack:
+        return mCluster.At(aWorker).mRack;
+      case adjacency::kDomain:
+        return mCluster.At(aWorker).mDomain;
+      case adjacency::kNone:
+        return 0;
+    }
+    return 0;
+  };
+  for (worker_index i = 0; i < mCluster.Workers().size(); ++i) {
+    const worker_slot& worker = mCluster.At(i);
+    resource_shape room = worker.mInfo.mCapacity - worker.mHeld -
+                          worker.mByTenure[static_cast<int>(tenure::kFirm)] -
+                          worker.mByTenure[static_cast<int>(tenure::kClaim)];
+    const int most = SlotsIn(room, shape);
+    if (!mCluster.IsSound(worker) || most == 0) {
+      continue;
+    }
+    std::vector<std::pair<instant, resource_shape>> ends;
+    for (const occupant& each : worker.mOccupants) {
+      const tenure held = each.mJob->mTenure;
+      if (held == tenure::kBorrowed || held == tenure::kUrgent) {
+        ends.emplace_back(mNow + RemainingOf(*each.mJob), each.mJob->Spec().mShape);
+        room = room - each.mJob->Spec().mShape;
+      }
+    }
+    std::ranges::sort(ends, {}, &std::pair<instant, resource_shape>::first);
+    std::vector<freeing>& group = groups[groupOf(i)];
+    int slots = SlotsIn(room, shape);
+    if (slots > 0) {
+      group.push_back({ mNow, i, slots });
+    }
+    for (const auto& [when, freed] : ends) {
+      room = room + freed;
+      const int now = SlotsIn(room, shape);
+      if (now > slots) {
+        group.push_back({ when, i, now - slots });
+        slots = now;
+      }
+    }
+  }
+  std::optional<drain> best;
+  for (auto& [name, group] : groups) {
+    std::ranges::stable_sort(group, {}, &freeing::mWhen);
+    int missing = aJob.Spec().mMembers;
+    std::map<worker_index, int> parts;
+    instant ready = mNow;
+    for (const freeing& each : group) {
+      const int taken = std::min(missing, each.mSlots);
+      parts[each.mWorker] += taken;
+      missing -= taken;
+      ready = each.mWhen;
+      if (missing == 0) {
+        break;
+      }
+    }
+    if (missing > 0 || (best && best->mReadyBy <= ready)) {
+      continue;
+    }
+    best = drain{ &aJob, {}, ready };
+    for (const auto& [worker, members] : parts) {
+      best->mParts.push_back({ worker, members });
+    }
+  }
+  return best;
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libjobs/core_takeover.cpp
@@ -0,0 +1,161 @@
+#include "libjobs/core_state.h"
+
+#include <algorithm>
+#include <set>
+
+namespace briarwind {
+
+namespace {
+
+const listed_lease* FindLease(const std::vector<worker_listing>& aWorkers,
+                              const std::string& aWorker, const lease_id& aLease)
+{
+  const auto worker = std::ranges::find(aWorkers, aWorker, &worker_listing::mWorker);
+  if (worker == aWorkers.end()) {
+    return nullptr;
+  }
+  const auto lease = std::ranges::find(worker->mLeases, aLease, &listed_lease::mLease);
+  return lease != worker->mLeases.end() ? &*lease : nullptr;
+}
+
+} // namespace
+
+/// Rebuilds from the records, then stops every lease that no record explains.
+void job_core::state::On(const restored& aEvent)
+{
+  if (mEpoch == 0 || mActing) {
+    return;
+  }
+  mActing = true;
+  std::set<std::string> asked;
+  for (const worker_listing& each : aEvent.mWorkers) {
+    asked.insert(each.mWorker);
+  }
+  for (worker_index i = 0; i < mCluster.Workers().size(); ++i) {
+    mCluster.SetLost(i, !asked.contains(NameOf(i)));
+  }
+  Rebind();
+  for (const restored_record& each : aEvent.mRecords) {
+    RestoreJob(each, aEvent.mWorkers);
+  }
+  for (const worker_listing& worker : aEvent.mWorkers) {
+    for (const listed_lease& lease : worker.mLeases) {
+      const job_entry* const job = FindJob(lease.mJob);
+      const bool explained = job != nullptr && job->mRecord.mAttempt == lease.mAttempt &&
+                             lease.mMember < static_cast<int>(job->mMembers.size()) &&
+                             job->mMembers[lease.mMember].mLease == lease.mLease;
+      const member_id member{ lease.mJob, lease.mAttempt, lease.mMember };
+      if (explained) {
+        continue;
+      }
+      if (lease.mState == lease_state::kRunning) {
+        Note(decision_kind::kLeaseOrphaned, lease.mJob, worker.mWorker);
+        Do(stop_lease{ member, worker.mWorker, lease.mLease, mEpoch, milliseconds(0) });
+      } else if (lease.mState == lease_state::kReserved) {
+        Do(release_lease{ member, worker.mWorker, lease.mLease, mEpoch });
+      } else {
+        Do(forget_lease{ worker.mWorker, lease.mLease });
+      }
+    }
+  }
+  mRoomChanged = true;
+  mScheduleNow = true;
+}
+
+void job_core::state::RestoreJob(const restored_record& aRecord,
+                                 const std::vector<worker_listing>& aWorkers)
+{
+  const job_record& record = aRecord.mRecord;
+  job_entry& job = AddJob(record);
+  job.mRevision = aRecord.mRevision;
+  if (IsFinal(record.mState)) {
+    job.mPhase = job_phase::kEnded;
+    --mLiveJobs;
+    At(mNow + mOptions.mEndedKept, { timer_kind::kDropEnded, record.mSpec.mId, 0, 0 });
+    return;
+  }
+  if (record.mState == job_state::kQueued) {
+    Enqueue(job);
+    return;
+  }
+  AdoptAttempt(job, aWorkers);
+}
+
+/// Takes over the members of a recorded attempt. Whatever is not certain counts as still running
+/// until its lease must have lapsed.
+void job_core::state::AdoptAttempt(job_entry& aJob, const std::vector<worker_listing>& aWorkers)
+{
+  const job_record& record = aJob.mRecord;
+  const int cell = record.mSpec.mGuaranteed ? mCells.FindFor(aJob) : -1;
+  aJob.mTenure = cell >= 0                   ? tenure::kClaim
+                 : !record.mSpec.mRepeatable ? tenure::kFirm
+                 : record.mSpec.mUrgent      ? tenure::kUrgent
+                                             : tenure::kBorrowed;
+  aJob.mCell = cell;
+  aJob.mAnyStarted = true;
+  aJob.mPhase = job_phase::kStarting;
+  aJob.mProgressAtStart = record.mProgress;
+  aJob.mRunningSince = mNow;
+  placement place;
+  for (const member_placement& each : record.mPlacements) {
+    member_state& member = aJob.mMembers.emplace_back();
+    member.mWorker = mCluster.Find(each.mWorker);
+    member.mLease = each.mLease;
+    member.mStarted = true;
+    member.mLeaseUntil = mNow + mOptions.mLeaseTimeToLive;
+    if (member.mWorker == kNoWorker) {
+      member.mPhase = member_phase::kGone;
+      continue;
+    }
+    member.mHolds = true;
+    ++aJob.mMembersHolding;
+    const int index = static_cast<int>(aJob.mMembers.size()) - 1;
+    mCluster.Take(member.mWorker, record.mSpec.mShape, aJob.mTenure, { &aJob, index });
+    member.mPhase = member_phase::kStarting;
+    place.push_back({ member.mWorker, 1 });
+  }
+  if (cell >= 0) {
+    mCells.Claim(cell, aJob);
+    mCells.Move(cell, place, mCluster);
+  }
+  aJob.mOrganisation->mUsed = aJob.mOrganisation->mUsed + aJob.Total();
+  if (aJob.mTeam != nullptr) {
+    aJob.mTeam->mUsedAccelerators += aJob.Accelerators();
+  }
+  bool whole = !aJob.mMembers.empty();
+  const int members = static_cast<int>(aJob.mMembers.size());
+  for (int i = 0; i < members; ++i) {
+    member_state& member = aJob.mMembers[i];
+    if (member.mWorker == kNoWorker) {
+      whole = false;
+      continue;
+    }
+    const listed_lease* const lease = FindLease(aWorkers, NameOf(member.mWorker), member.mLease);
+    if (lease == nullptr) {
+      whole = false;
+      if (!mCluster.At(member.mWorker).mLost) {
+        MemberGone(aJob, i);
+      }
+      continue;
+    }
+    if (lease->mState == lease_state::kReserved) {
+      // Its start never came. Only a release makes sure that it never does.
+      member.mPhase = member_phase::kReserved;
+      whole = false;
+      continue;
+    }
+    TakeStatus(aJob, i, { lease->mLease, lease->mState, lease->mProgress });
+    whole = whole && (member.mPhase == member_phase::kRunning || member.mFinished);
+  }
+  if (!whole) {
+    StopAttempt(aJob, after_stop::kQueueAgain, "takeover found the attempt incomplete",
+                milliseconds(0));
+  }
+  if (aJob.mMembersHolding == 0 && aJob.mOrganisation != nullptr && aJob.mMembers.empty()) {
+    Requeue(aJob, false);
+    return;
+  }
+  FinishIfOver(aJob);
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libjobs/placement.cpp
@@ -0,0 +1,192 @@
+#include "libjobs/placement.h"
+
+#include "libjobs/resources.h"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace briarwind {
+
+namespace {
+
+struct candidate
+{
+  worker_index mWorker = 0;
+  int mSlots = 0;
+  int mCost = 0; ///< higher is taken later
+};
+
+/// One search; gathers the workers with room once and then looks at groups of them.
+class place_search
+{
+public:
+  place_search(const cluster_table& aCluster, const placement_request& aRequest)
+    : mCluster(aCluster)
+    , mRequest(aRequest)
+  {
+  }
+
+  placement_result Run()
+  {
+    if (CannotFit()) {
+      return {};
+    }
+    Gather();
+    if (mTotal < mRequest.mMembers) {
+      return {};
+    }
+    if (mRequest.mAdjacency != adjacency::kNone) {
+      PickGroup();
+    } else if (mRequest.mMembers > 1 && mRequest.mPacking == packing::kBestFit) {
+      PreferOneDomain();
+    }
+    return { Fill(), placement_failure::kNoAdjacency };
+  }
+
+private:
+  /// The counts of free accelerators tell at once when a plain request is hopeless.
+  bool CannotFit() const
+  {
+    const int needed = mRequest.mMembers * mRequest.mShape.mAccelerators;
+    const bool plain = mRequest.mRoom == room_kind::kFree || mRequest.mRoom == room_kind::kFreeFirm;
+    return plain && needed > mCluster.FreeAccelerators();
+  }
+
+  void Gather()
+  {
+    const bool listedOnly = mRequest.mRoom == room_kind::kWholeListed;
+    const auto workers = mCluster.Workers();
+    for (worker_index i = 0; i < workers.size(); ++i) {
+      const worker_slot& worker = workers[i];
+      const bool counts = listedOnly ? worker.mListed : mCluster.IsOpen(worker);
+      if (!counts || std::ranges::find(mRequest.mAvoid, i) != mRequest.mAvoid.end()) {
+        continue;
+      }
+      int slots = SlotsIn(mCluster.Room(worker, mRequest.mRoom), mRequest.mShape);
+      if (worker.mHealth.mProbing && !listedOnly) {
+        slots = mRequest.mMayProbe && worker.mOccupants.empty() ? std::min(slots, 1) : 0;
+      }
+      if (slots > 0) {
+        mCandidates.push_back({ i, slots, CostOf(worker) });
+        mTotal += slots;
+      }
+    }
+  }
+
+  int CostOf(const worker_slot& aWorker) const
+  {
+    if (mRequest.mPacking == packing::kFirstFit) {
+      return 0;
+    }
+    // Work that needs no accelerator keeps away from those; and what can be evicted keeps away
+    // from guaranteed shapes, so that a claim finds less to evict.
+    const bool wasteful =
+      mRequest.mShape.mAccelerators == 0 && aWorker.mInfo.mCapacity.mAccelerators > 0;
+    const bool bound = aWorker.mCells != resource_shape{};
+    const bool probe = aWorker.mHealth.mProbing;
+    return (wasteful ? 2 : 0) + (bound ? 1 : 0) - (probe ? 4 : 0);
+  }
+
+  std::uint32_t GroupOf(const candidate& aCandidate) const
+  {
+    const worker_slot& worker = mCluster.At(aCandidate.mWorker);
+    switch (mRequest.mAdjacency) {
+      case adjacency::kWorker:
+        return aCandidate.mWorker;
+      case adjacency::kRack:
+        return worker.mRack;
+      case adjacency::kDomain:
+      case adjacency::kNone:
+        return worker.mDomain;
+    }
+    return 0;
+  }
+
+  /// Keeps the one group that holds the gang and leaves the least room over.
+  bool KeepBestGroup()
+  {
+    std::vector<std::pair<std::int64_t, int>> groups; // slots and cost
+    for (const candidate& each : mCandidates) {
+      const std::uint32_t group = GroupOf(each);
+      groups.resize(std::max<std::size_t>(groups.size(), group + 1));
+      groups[group].first += each.mSlots;
+      groups[group].second = std::max(groups[group].second, each.mCost);
+    }
+    std::size_t best = groups.size();
+    for (std::size_t i = 0; i < groups.size(); ++i) {
+      if (groups[i].first < mRequest.mMembers) {
+        continue;
+      }
+      const bool better =
+        best == groups.size() || (mRequest.mPacking == packing::kBestFit &&
+                                  std::tuple(groups[i].second, groups[i].first) <
+                                    std::tuple(groups[best].second, groups[best].first));
+      best = better ? i : best;
+    }
+    if (best == groups.size()) {
+      return false;
+    }
+    std::erase_if(mCandidates, [&](const candidate& aEach) { return GroupOf(aEach) != best; });
+    return true;
+  }
+
+  void PickGroup()
+  {
+    if (!KeepBestGroup()) {
+      mCandidates.clear();
+    }
+  }
+
+  void PreferOneDomain() { KeepBestGroup(); }
+
+  placement Fill()
+  {
+    if (mRequest.mPacking == packing::kBestFit) {
+      SortTightFirst();
+    }
+    placement parts;
+    int missing = mRequest.mMembers;
+    for (const candidate& each : mCandidates) {
+      const int taken = std::min(each.mSlots, missing);
+      parts.push_back({ each.mWorker, taken });
+      missing -= taken;
+      if (missing == 0) {
+        return parts;
+      }
+    }
+    return {};
+  }
+
+  /// One member goes to the tightest worker. A gang starts with the roomiest, so that it touches
+  /// few workers and racks.
+  void SortTightFirst()
+  {
+    const bool gang = mRequest.mMembers > 1;
+    const auto before = [&](const candidate& aLeft, const candidate& aRight) {
+      const int left = gang ? -aLeft.mSlots : aLeft.mSlots;
+      const int right = gang ? -aRight.mSlots : aRight.mSlots;
+      return std::tuple(aLeft.mCost, left, aLeft.mWorker) <
+             std::tuple(aRight.mCost, right, aRight.mWorker);
+    };
+    if (gang) {
+      std::ranges::sort(mCandidates, before);
+    } else {
+      std::iter_swap(mCandidates.begin(), std::ranges::min_element(mCandidates, before));
+    }
+  }
+
+  const cluster_table& mCluster;
+  const placement_request& mRequest;
+  std::vector<candidate> mCandidates;
+  std::int64_t mTotal = 0;
+};
+
+} // namespace
+
+placement_result FindPlace(const cluster_table& aCluster, const placement_request& aRequest)
+{
+  return place_search(aCluster, aRequest).Run();
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libjobs/run_time_model.cpp
@@ -0,0 +1,58 @@
+#include "libjobs/run_time_model.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace briarwind {
+
+namespace {
+
+// Older observations fade, so that a class whose jobs change is learned anew.
+constexpr double kMostWeight = 30;
+// As if this many jobs had run exactly as declared before the first one.
+constexpr double kPriorWeight = 2;
+// One job cannot move the estimate by more than this factor.
+constexpr double kWidestRatio = 100;
+
+int Log2(std::int64_t aValue)
+{
+  return std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(aValue, 0)));
+}
+
+} // namespace
+
+run_time_model::job_class run_time_model::ClassOf(const std::string& aOrganisation,
+                                                  int aAccelerators, milliseconds aDeclared)
+{
+  return { aOrganisation, Log2(aAccelerators), Log2(aDeclared.count()) / 2 };
+}
+
+milliseconds run_time_model::Estimate(const std::string& aOrganisation, int aAccelerators,
+                                      milliseconds aDeclared) const
+{
+  const auto found = mCorrections.find(ClassOf(aOrganisation, aAccelerators, aDeclared));
+  if (found == mCorrections.end()) {
+    return aDeclared;
+  }
+  const correction& learned = found->second;
+  const double trust = learned.mWeight / (learned.mWeight + kPriorWeight);
+  const double factor = std::exp(learned.mMeanLogRatio * trust);
+  return milliseconds(static_cast<std::int64_t>(static_cast<double>(aDeclared.count()) * factor));
+}
+
+void run_time_model::Learn(const std::string& aOrganisation, int aAccelerators,
+                           milliseconds aDeclared, milliseconds aActual)
+{
+  if (aDeclared.count() <= 0 || aActual.count() <= 0) {
+    return;
+  }
+  const double ratio =
+    std::clamp(static_cast<double>(aActual.count()) / static_cast<double>(aDeclared.count()),
+               1 / kWidestRatio, kWidestRatio);
+  correction& learned = mCorrections[ClassOf(aOrganisation, aAccelerators, aDeclared)];
+  learned.mWeight = std::min(learned.mWeight + 1, kMostWeight);
+  learned.mMeanLogRatio += (std::log(ratio) - learned.mMeanLogRatio) / learned.mWeight;
+}
+
+} // namespace briarwind
