--- a/src/include/briarwind/options.h
+++ b/src/include/briarwind/options.h
@@ -48,10 +48,14 @@
 
   /// Reads flags and environment and collects every finding. Unknown flags and unknown variables
   /// that start with BRIARWIND_ are findings too (the latter warnings).
-  findings Parse(std::span<const char* const> aArguments, const environment& aEnvironment);
+  /// @param aArguments without the program's name
+  /// @param aVariables names of all variables that are set, to find unknown ones
+  findings Parse(std::span<const char* const> aArguments, const environment& aEnvironment,
+                 std::span<const std::string> aVariables = {});
 
   /// For main: parses, and on --help, --version, --check or an error prints and exits
-  /// (0 for the first three when nothing is wrong, 2 for errors).
+  /// (0 for the first three when nothing is wrong, 2 for errors). Findings go to standard error.
+  /// @param aArguments begins with the program's name, as main gets it
   void ParseOrExit(int aCount, const char* const* aArguments);
 
   /// The text of --help: each option with flag, variable, default and unit.
--- /dev/null
+++ b/src/libutil/options.cpp
@@ -0,0 +1,333 @@
+#include "briarwind/options.h"
+
+#include "briarwind/time_text.h"
+#include "briarwind/version.h"
+#include "libutil/command_line.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <cstdio>
+#include <cstdlib>
+#include <optional>
+#include <ranges>
+
+namespace briarwind {
+
+namespace {
+
+constexpr std::string_view kVariablePrefix = "BRIARWIND_";
+constexpr int kBadSettingsExit = 2;
+
+// Takes the text into the bound variable, or says what was expected.
+using option_reader = std::function<std::optional<std::string>(std::string_view)>;
+
+struct option
+{
+  std::string mFlag;
+  std::string mVariable;
+  std::string mForm; // shown in --help, such as `TIME from 1ms to 5m`
+  std::string mDefault;
+  std::string mHelp;
+  bool mIsSwitch = false;
+  option_reader mRead;
+};
+
+std::string VariableOf(std::string_view aFlag)
+{
+  std::string variable(kVariablePrefix);
+  std::ranges::transform(aFlag, std::back_inserter(variable), [](unsigned char aChar) {
+    return aChar == '-' ? '_' : static_cast<char>(std::toupper(aChar));
+  });
+  return variable;
+}
+
+std::optional<bool> ParseSwitch(std::string_view aText)
+{
+  static constexpr std::array<std::string_view, 4> kYes{ "true", "yes", "1", "on" };
+  static constexpr std::array<std::string_view, 4> kNo{ "false", "no", "0", "off" };
+  if (std::ranges::find(kYes, aText) != kYes.end()) {
+    return true;
+  }
+  return std::ranges::find(kNo, aText) != kNo.end() ? std::optional(false) : std::nullopt;
+}
+
+template<class Value>
+std::optional<std::string> Take(const io_result<Value>& aRead, Value& aTarget)
+{
+  if (!aRead) {
+    return aRead.error().mWhat;
+  }
+  aTarget = aRead.value();
+  return std::nullopt;
+}
+
+result<std::vector<endpoint>> ParseEndpoints(std::string_view aText)
+{
+  std::vector<endpoint> parsed;
+  if (aText.empty()) {
+    return parsed;
+  }
+  for (const auto part : std::views::split(aText, ',')) {
+    BOOST_LEAF_AUTO(one, ParseEndpoint(std::string_view(part.begin(), part.end())));
+    parsed.push_back(std::move(one));
+  }
+  return parsed;
+}
+
+std::string JoinEndpoints(const std::vector<endpoint>& aEndpoints)
+{
+  std::vector<std::string> texts;
+  std::ranges::transform(aEndpoints, std::back_inserter(texts),
+                         [](const endpoint& aOne) { return ToString(aOne); });
+  return fmt::format("{}", fmt::join(texts, ","));
+}
+
+std::vector<std::string> VariableNames()
+{
+  std::vector<std::string> names;
+  for (char** each = environ; each != nullptr && *each != nullptr; ++each) {
+    const std::string_view variable = *each;
+    names.emplace_back(variable.substr(0, variable.find('=')));
+  }
+  return names;
+}
+
+} // namespace
+
+struct option_set::state
+{
+  std::string mProgram;
+  std::string mPurpose;
+  std::vector<option> mOptions;
+  std::vector<std::function<void(findings&)>> mChecks;
+  std::vector<std::string>* mWords = nullptr;
+  std::string mWordsName;
+  std::string mWordsHelp;
+  bool mWantsHelp = false;
+  bool mWantsVersion = false;
+  bool mWantsCheck = false;
+
+  void Add(std::string_view aFlag, std::string aForm, std::string aDefault, std::string_view aHelp,
+           option_reader aRead)
+  {
+    mOptions.push_back({ std::string(aFlag), VariableOf(aFlag), std::move(aForm),
+                         std::move(aDefault), std::string(aHelp), false, std::move(aRead) });
+  }
+
+  void AddSwitch(std::string_view aFlag, bool& aTarget, std::string_view aHelp)
+  {
+    Add(aFlag, "", aTarget ? "yes" : "no", aHelp,
+        [&aTarget](std::string_view aText) -> std::optional<std::string> {
+          const std::optional<bool> read = ParseSwitch(aText);
+          aTarget = read.value_or(aTarget);
+          return read ? std::nullopt : std::optional<std::string>("expected yes or no");
+        });
+    mOptions.back().mIsSwitch = true;
+  }
+
+  void AddAction(std::string_view aFlag, bool& aTarget, std::string_view aHelp)
+  {
+    AddSwitch(aFlag, aTarget, aHelp);
+    mOptions.back().mVariable.clear();
+  }
+
+  void Read(const option& aOption, std::string_view aPlace, std::string_view aText,
+            findings& aFindings) const
+  {
+    if (const auto expected = aOption.mRead(aText)) {
+      aFindings.push_back({ severity::kError, std::string(aPlace), std::string(aText), *expected });
+    }
+  }
+
+  void ReadOne(const option& aOption, const command_line& aLine, const environment& aEnvironment,
+               findings& aFindings) const
+  {
+    const auto flag = aLine.mFlags.find(aOption.mFlag);
+    if (flag != aLine.mFlags.end()) {
+      Read(aOption, "--" + aOption.mFlag, flag->second, aFindings);
+      return;
+    }
+    const bool hasVariable = !aOption.mVariable.empty();
+    const char* text = hasVariable ? aEnvironment(aOption.mVariable.c_str()) : nullptr;
+    if (text != nullptr) {
+      Read(aOption, aOption.mVariable, text, aFindings);
+    }
+  }
+
+  void TakeWords(command_line& aLine, findings& aFindings) const
+  {
+    if (mWords != nullptr) {
+      *mWords = std::move(aLine.mWords);
+      return;
+    }
+    for (const std::string& each : aLine.mWords) {
+      aFindings.push_back(
+        { severity::kError, "command line", each, "expected no words besides the flags" });
+    }
+  }
+
+  void FindUnknownVariables(std::span<const std::string> aNames, findings& aFindings) const
+  {
+    for (const std::string& each : aNames) {
+      const bool known = std::ranges::find(mOptions, each, &option::mVariable) != mOptions.end();
+      if (each.starts_with(kVariablePrefix) && !known) {
+        aFindings.push_back({ severity::kWarning, each, "", "no setting of this program" });
+      }
+    }
+  }
+};
+
+option_set::option_set(std::string aProgram, std::string aPurpose)
+  : mState(std::make_unique<state>())
+{
+  mState->mProgram = std::move(aProgram);
+  mState->mPurpose = std::move(aPurpose);
+  mState->AddAction("help", mState->mWantsHelp, "Prints this text and exits.");
+  mState->AddAction("version", mState->mWantsVersion, "Prints the version and exits.");
+  mState->AddAction("check", mState->mWantsCheck, "Checks the settings, prints findings, exits.");
+}
+
+option_set::~option_set() = default;
+
+void option_set::Add(std::string_view aFlag, std::string& aTarget, std::string_view aHelp)
+{
+  mState->Add(aFlag, "TEXT", aTarget, aHelp,
+              [&aTarget](std::string_view aText) -> std::optional<std::string> {
+                aTarget = aText;
+                return std::nullopt;
+              });
+}
+
+void option_set::Add(std::string_view aFlag, bool& aTarget, std::string_view aHelp)
+{
+  mState->AddSwitch(aFlag, aTarget, aHelp);
+}
+
+void option_set::Add(std::string_view aFlag, std::int64_t& aTarget, std::int64_t aMin,
+                     std::int64_t aMax, std::string_view aHelp)
+{
+  const std::string form = fmt::format("NUMBER from {} to {}", aMin, aMax);
+  mState->Add(aFlag, form, fmt::format("{}", aTarget), aHelp,
+              [=, &aTarget](std::string_view aText) -> std::optional<std::string> {
+                std::int64_t read = 0;
+                const char* last = aText.data() + aText.size();
+                const auto [end, code] = std::from_chars(aText.data(), last, read);
+                if (code != std::errc{} || end != last || read < aMin || read > aMax) {
+                  return fmt::format("expected a whole number from {} to {}", aMin, aMax);
+                }
+                aTarget = read;
+                return std::nullopt;
+              });
+}
+
+void option_set::Add(std::string_view aFlag, milliseconds& aTarget, milliseconds aMin,
+                     milliseconds aMax, std::string_view aHelp)
+{
+  const std::string range = fmt::format("from {} to {}", ToString(aMin), ToString(aMax));
+  mState->Add(aFlag, "TIME " + range, ToString(aTarget), aHelp,
+              [=, &aTarget](std::string_view aText) -> std::optional<std::string> {
+                const auto read = Settle([&] { return ParseTime(aText); });
+                if (read && (read.value() < aMin || read.value() > aMax)) {
+                  return fmt::format("expected a time {}", range);
+                }
+                return Take(read, aTarget);
+              });
+}
+
+void option_set::Add(std::string_view aFlag, endpoint& aTarget, std::string_view aHelp)
+{
+  const bool hasDefault = !aTarget.mAddress.empty();
+  mState->Add(aFlag, "IP:PORT", hasDefault ? ToString(aTarget) : "", aHelp,
+              [&aTarget](std::string_view aText) {
+                return Take(Settle([&] { return ParseEndpoint(aText); }), aTarget);
+              });
+}
+
+void option_set::Add(std::string_view aFlag, std::vector<endpoint>& aTarget, std::string_view aHelp)
+{
+  mState->Add(aFlag, "IP:PORT,…", JoinEndpoints(aTarget), aHelp,
+              [&aTarget](std::string_view aText) {
+                return Take(Settle([&] { return ParseEndpoints(aText); }), aTarget);
+              });
+}
+
+void option_set::AddWords(std::vector<std::string>& aTarget, std::string_view aName,
+                          std::string_view aHelp)
+{
+  mState->mWords = &aTarget;
+  mState->mWordsName = aName;
+  mState->mWordsHelp = aHelp;
+}
+
+void option_set::AddCheck(std::function<void(findings&)> aCheck)
+{
+  mState->mChecks.push_back(std::move(aCheck));
+}
+
+findings option_set::Parse(std::span<const char* const> aArguments, const environment& aEnvironment,
+                           std::span<const std::string> aVariables)
+{
+  std::vector<flag_spec> flags;
+  std::ranges::transform(mState->mOptions, std::back_inserter(flags), [](const option& aOption) {
+    return flag_spec{ aOption.mFlag, aOption.mIsSwitch };
+  });
+  command_line line = ReadCommandLine(mState->mProgram, flags, aArguments);
+  findings found = std::move(line.mFindings);
+  for (const option& each : mState->mOptions) {
+    mState->ReadOne(each, line, aEnvironment, found);
+  }
+  mState->TakeWords(line, found);
+  mState->FindUnknownVariables(aVariables, found);
+  for (const auto& each : mState->mChecks) {
+    each(found);
+  }
+  return found;
+}
+
+void option_set::ParseOrExit(int aCount, const char* const* aArguments)
+{
+  const std::span all(aArguments, static_cast<std::size_t>(aCount));
+  const findings found = Parse(all.subspan(all.empty() ? 0 : 1), std::getenv, VariableNames());
+  if (mState->mWantsHelp) {
+    fmt::print("{}", Help());
+  } else if (mState->mWantsVersion) {
+    fmt::print("{} {}\n", mState->mProgram, kVersion);
+  }
+  fmt::print(stderr, "{}", ToText(found));
+  if (HasErrors(found)) {
+    std::exit(kBadSettingsExit);
+  }
+  if (mState->mWantsCheck) {
+    fmt::print("{}: settings are right\n", mState->mProgram);
+  }
+  if (mState->mWantsHelp || mState->mWantsVersion || mState->mWantsCheck) {
+    std::exit(0);
+  }
+}
+
+std::string option_set::Help() const
+{
+  std::string text = fmt::format("{}\n\nUsage: {} [flags]", mState->mPurpose, mState->mProgram);
+  if (mState->mWords != nullptr) {
+    text += fmt::format(" {}\n\n{}", mState->mWordsName, mState->mWordsHelp);
+  }
+  text += "\n\nEach setting is given by a flag or a variable of the environment; the flag wins.\n";
+  for (const option& each : mState->mOptions) {
+    text += fmt::format("\n  --{}{}{}\n", each.mFlag, each.mForm.empty() ? "" : " ", each.mForm);
+    text += fmt::format("      {}\n", each.mHelp);
+    if (!each.mVariable.empty()) {
+      text += fmt::format("      {}, default: {}\n", each.mVariable,
+                          each.mDefault.empty() ? "none" : each.mDefault);
+    }
+  }
+  return text;
+}
+
+} // namespace briarwind
