--- a/src/libutil/options_test.cpp
+++ b/src/libutil/options_test.cpp
@@ -96,7 +96,13 @@
       BW_CHECK(!read.mLocked);
     }
   }
-  BW_SECTION("report every finding with its place, all together")
+}
+
+BW_STORY("what is wrong with the settings of a process")
+{
+  gate_options gate;
+  const gate_settings& read = gate.mSettings;
+  BW_SECTION("is reported with its place, all together")
   {
     gate.mVariables = { { "BRIARWIND_LOCKED", "perhaps" }, { "BRIARWIND_COLOUR", "red" } };
     const findings found =
@@ -111,19 +117,19 @@
     BW_EQUAL(std::string("north"), read.mName);
     BW_EQUAL(std::int64_t{ 3 }, read.mWidth);
   }
-  BW_SECTION("only warn of an unknown variable")
+  BW_SECTION("is only a warning for an unknown variable")
   {
     gate.mVariables = { { "BRIARWIND_COLOUR", "red" }, { "HOME", "/" } };
     const findings found = gate.Parse({});
     BW_EQUAL(std::vector<std::string>{ "BRIARWIND_COLOUR" }, Places(found));
     BW_CHECK(!HasErrors(found));
   }
-  BW_SECTION("refuse a flag that is given twice")
+  BW_SECTION("may be a flag that is given twice")
   {
     BW_EQUAL(std::vector<std::string>{ "--width" },
              Places(gate.Parse({ "--width=1", "--width=2" })));
   }
-  BW_SECTION("may be checked together")
+  BW_SECTION("may come from a check over several")
   {
     gate.mOptions.AddCheck([&](findings& aFindings) {
       if (read.mLocked && read.mWidth > 4) {
@@ -133,7 +139,12 @@
     BW_CHECK(gate.Parse({ "--locked" }).empty());
     BW_CHECK(HasErrors(gate.Parse({ "--locked", "--width=5" })));
   }
-  BW_SECTION("take words, and after -- anything as a word")
+}
+
+BW_STORY("the command line of a process")
+{
+  gate_options gate;
+  BW_SECTION("gives words, and after -- anything as a word")
   {
     std::vector<std::string> words;
     gate.mOptions.AddWords(words, "COMMAND…", "What to do.");
@@ -141,7 +152,7 @@
     const std::vector<std::string> expected{ "open", "now", "--name" };
     BW_EQUAL(expected, words);
   }
-  BW_SECTION("are all shown in the help with variable, default and range")
+  BW_SECTION("is shown in the help with variable, default and range")
   {
     const std::string help = gate.mOptions.Help();
     for (const char* part : { "--open-delay TIME from 1ms to 1m", "BRIARWIND_OPEN_DELAY",
