Fiber runtime, HTTP server, client and pool

Cause: every process stands on these; Beast is Asio and Fiber has its own scheduler, so the joint between them comes first. Ways weighed: a second thread for the io_context that fulfils promises (needs locks in every adapter) against a scheduling algorithm that sleeps inside the io_context. Taken: the latter, one thread, handlers run only in the dispatcher's turn, because a fiber that is being suspended may still hold the lock of a wait queue. Ruled out: Await with a promise a call; the state lives on the fiber's stack. Found on the way: the server's address was asked of a closed listener; the drain section of the test failed first.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -18,7 +18,10 @@
   if [ -e "$passed/$key" ]; then
     return 0
   fi
-  clang-tidy-19 -p "$build" --quiet --warnings-as-errors='*' "$source" 2>/dev/null || return 1
+  # A story with its nested sections is one function, however many sections it has.
+  local checks=()
+  case "$source" in *_test.cpp) checks=(--checks=-readability-function-size) ;; esac
+  clang-tidy-19 -p "$build" --quiet "${checks[@]}" --warnings-as-errors='*' "$source" 2>/dev/null || return 1
   touch "$passed/$key"
 }
 export -f lint_one
--- a/src/include/briarwind/fiber_runtime.h
+++ b/src/include/briarwind/fiber_runtime.h
@@ -13,7 +13,8 @@
 namespace briarwind {
 
 /// One thread, one io_context, any number of fibers: every adapter of a process runs here, so the
-/// core needs no locks. A fiber that waits for a socket lets the others run.
+/// core needs no locks. A fiber that waits for a socket lets the others run. The calling thread
+/// becomes the runtime's thread; a second runtime in the same thread shares its io_context.
 class fiber_runtime
 {
 public:
@@ -27,9 +28,8 @@
   /// Starts a fiber. It ends on its own; there is no way to cancel it from outside.
   void Spawn(std::function<void()> aBody);
 
-  /// Runs aMain in the calling thread's main fiber and returns when it does. Fibers that are still
-  /// alive are not waited for.
-  void Run(const std::function<void()>& aMain);
+  /// For main: leaves the process at once. Returning from main would wait for every fiber.
+  [[noreturn]] static void Exit(int aStatus);
 
   /// Suspends the calling fiber until one of the signals arrives; returns its number.
   int WaitForSignal(std::span<const int> aSignals);
--- a/src/include/briarwind/http.h
+++ b/src/include/briarwind/http.h
@@ -62,6 +62,8 @@
   bool mDrop = false;
   /// Server only: send no more than this many bytes of the body, then cut the connection.
   std::optional<std::size_t> mTruncateAt;
+  /// Server only: write the answer this many times (fault switch of the stand-ins).
+  unsigned mCopies = 1;
 };
 
 /// A JSON answer with content type.
--- a/src/include/briarwind/http_client.h
+++ b/src/include/briarwind/http_client.h
@@ -21,6 +21,7 @@
   error mError;                           ///< when there is no answer
   std::size_t mBytesSent = 0;             ///< 0: the other side cannot have seen any of it
   bool mReusable = false;                 ///< the connection may carry another request
+  bool mExtraBytes = false;               ///< more than the one answer came in
 };
 
 /// One client connection to an IP number. Closed by its destructor.
@@ -45,7 +46,7 @@
 
   /// From another fiber: makes a call that is under way fail.
   virtual void Cancel() = 0;
-  /// False when the other side is known to have closed an idle connection.
+  /// False when an idle connection was closed by the other side or has bytes nobody asked for.
   virtual bool IsOpen() const = 0;
 };
 
--- /dev/null
+++ b/src/libnet/fiber_runtime.cpp
@@ -0,0 +1,153 @@
+#include "briarwind/fiber_runtime.h"
+
+#include "await.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/fiber/scheduler.hpp>
+
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <utility>
+
+namespace briarwind {
+
+namespace asio = boost::asio;
+namespace fibers = boost::fibers;
+
+namespace {
+
+// Round robin over the ready fibers; handlers of the io_context run in the dispatcher's turn, and
+// when no fiber is ready the dispatcher sleeps inside the io_context.
+class io_scheduler : public fibers::algo::algorithm
+{
+public:
+  explicit io_scheduler(std::shared_ptr<asio::io_context> aContext)
+    : mContext(std::move(aContext))
+  {
+  }
+
+  void awakened(fibers::context* aFiber) noexcept override { aFiber->ready_link(mReady); }
+
+  fibers::context* pick_next() noexcept override
+  {
+    // Only the dispatcher may run handlers: a fiber that is just being suspended can still hold the
+    // lock of a wait queue that a handler would need.
+    if (fibers::context::active()->is_context(fibers::type::dispatcher_context)) {
+      mContext->poll();
+    }
+    if (mReady.empty()) {
+      return nullptr;
+    }
+    fibers::context* next = &mReady.front();
+    mReady.pop_front();
+    return next;
+  }
+
+  bool has_ready_fibers() const noexcept override { return !mReady.empty(); }
+
+  void suspend_until(const std::chrono::steady_clock::time_point& aUntil) noexcept override
+  {
+    if (aUntil == std::chrono::steady_clock::time_point::max()) {
+      mContext->run_one();
+    } else {
+      mContext->run_one_until(aUntil);
+    }
+  }
+
+  void notify() noexcept override
+  {
+    asio::post(*mContext, [] {});
+  }
+
+private:
+  std::shared_ptr<asio::io_context> mContext;
+  fibers::scheduler::ready_queue_type mReady;
+};
+
+using work_guard = asio::executor_work_guard<asio::io_context::executor_type>;
+
+// The scheduler of a thread lives until the thread ends, so its io_context has to as well.
+struct thread_context
+{
+  thread_context()
+    : mContext(std::make_shared<asio::io_context>(1))
+    , mGuard(mContext->get_executor())
+  {
+    fibers::use_scheduling_algorithm<io_scheduler>(mContext);
+  }
+
+  std::shared_ptr<asio::io_context> mContext;
+  work_guard mGuard;
+};
+
+thread_context& ThisThreadContext()
+{
+  // Never freed: the fiber scheduler of the thread may outlive any destructor here.
+  thread_local auto* sContext = new thread_context;
+  return *sContext;
+}
+
+} // namespace
+
+struct fiber_runtime::state
+{
+  std::shared_ptr<asio::io_context> mContext = ThisThreadContext().mContext;
+};
+
+fiber_runtime::fiber_runtime()
+  : mState(std::make_unique<state>())
+{
+}
+
+fiber_runtime::~fiber_runtime() = default;
+
+asio::io_context& fiber_runtime::Context()
+{
+  return *mState->mContext;
+}
+
+void fiber_runtime::Spawn(std::function<void()> aBody)
+{
+  fibers::fiber(fibers::launch::post, std::move(aBody)).detach();
+}
+
+void fiber_runtime::Exit(int aStatus)
+{
+  std::fflush(nullptr);
+  std::_Exit(aStatus);
+}
+
+int fiber_runtime::WaitForSignal(std::span<const int> aSignals)
+{
+  asio::signal_set signals(*mState->mContext);
+  for (const int each : aSignals) {
+    signals.add(each);
+  }
+  const auto [code, number] =
+    Await<int>([&](auto aHandler) { signals.async_wait(std::move(aHandler)); });
+  return code ? 0 : number;
+}
+
+void fiber_runtime::Post(std::function<void()> aCall)
+{
+  asio::post(*mState->mContext, std::move(aCall));
+}
+
+void SleepFor(duration aTime)
+{
+  boost::this_fiber::sleep_for(aTime);
+}
+
+void SleepUntil(instant aTime)
+{
+  boost::this_fiber::sleep_until(aTime);
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libnet/http_client.cpp
@@ -0,0 +1,220 @@
+#include "briarwind/http_client.h"
+
+#include "await.h"
+#include "beast_convert.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace briarwind {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+using response_parser = http::response_parser<http::string_body>;
+using wire_request = http::request<http::span_body<const char>>;
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::uint32_t kResponseHeaderBytes = 64U << 10U;
+
+wire_request ToWire(const http_request& aRequest, const endpoint& aPeer)
+{
+  wire_request wire;
+  wire.version(kHttp11);
+  wire.method_string(aRequest.mMethod);
+  wire.target(aRequest.mTarget);
+  ToBeast(aRequest.mHeaders, wire);
+  if (!aRequest.mHeaders.Find("Host")) {
+    wire.set(http::field::host, ToString(aPeer));
+  }
+  wire.body() = beast::span<const char>(aRequest.mBody.data(), aRequest.mBody.size());
+  wire.prepare_payload();
+  return wire;
+}
+
+error DescribeFailure(beast::error_code aCode, std::size_t aBytesSent, const endpoint& aPeer)
+{
+  if (aCode == http::error::body_limit) {
+    return { error_kind::kTooLarge, ToString(aPeer), "the answer is over the limit" };
+  }
+  const bool late = aCode == beast::error::timeout;
+  if (aBytesSent > 0) {
+    return { error_kind::kUnknownOutcome, ToString(aPeer),
+             late ? std::string("no whole answer before the deadline") : aCode.message() };
+  }
+  return { late ? error_kind::kTimeout : error_kind::kUnavailable, ToString(aPeer),
+           aCode.message() };
+}
+
+class beast_connection : public http_connection
+{
+public:
+  beast_connection(asio::io_context& aContext, endpoint aPeer)
+    : mPeer(std::move(aPeer))
+    , mStream(aContext)
+  {
+  }
+
+  beast::error_code Open(instant aDeadline)
+  {
+    mStream.expires_at(aDeadline);
+    const auto [code] =
+      Await<>([&](auto aHandler) { mStream.async_connect(ToAsio(mPeer), std::move(aHandler)); });
+    if (!code) {
+      beast::error_code ignored;
+      mStream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    }
+    return code;
+  }
+
+  http_exchange Exchange(const http_request& aRequest, instant aDeadline,
+                         std::size_t aMaxBody) override
+  {
+    http_exchange exchange;
+    mStream.expires_at(aDeadline);
+    const beast::error_code written = Send(aRequest, exchange.mBytesSent);
+    if (exchange.mBytesSent == 0 || written == beast::error::timeout) {
+      Close();
+      exchange.mError = DescribeFailure(written, exchange.mBytesSent, mPeer);
+      return exchange;
+    }
+    // After a failed write an answer may still be there: some targets refuse before they have read
+    // the whole body.
+    Receive(aRequest, aMaxBody, exchange);
+    if (written) {
+      exchange.mReusable = false;
+    }
+    if (!exchange.mReusable) {
+      Close();
+    }
+    return exchange;
+  }
+
+  io_result<void> Stream(const http_request& aRequest, milliseconds aIdle,
+                         const std::function<bool(std::string_view)>& aLine) override
+  {
+    std::size_t sent = 0;
+    mStream.expires_after(aIdle);
+    const beast::error_code written = Send(aRequest, sent);
+    if (written) {
+      return boost::outcome_v2::failure(DescribeFailure(written, sent, mPeer));
+    }
+    response_parser parser;
+    parser.body_limit(boost::none);
+    parser.header_limit(kResponseHeaderBytes);
+    while (!parser.is_done()) {
+      mStream.expires_after(aIdle);
+      const auto [code, bytes] = Await<std::size_t>([&](auto aHandler) {
+        http::async_read_some(mStream, mBuffer, parser, std::move(aHandler));
+      });
+      if (code) {
+        return boost::outcome_v2::failure(DescribeFailure(code, sent, mPeer));
+      }
+      if (parser.is_header_done() && !HandOverLines(parser.get().body(), aLine)) {
+        break;
+      }
+    }
+    Close();
+    const unsigned status = parser.get().result_int();
+    if (status != 200) {
+      return IoError(error_kind::kProtocol, ToString(mPeer), parser.get().body());
+    }
+    return boost::outcome_v2::success();
+  }
+
+  void Cancel() override { mStream.cancel(); }
+
+  bool IsOpen() const override
+  {
+    const int handle = const_cast<beast::tcp_stream&>(mStream).socket().native_handle();
+    char byte = 0;
+    const auto got = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+private:
+  beast::error_code Send(const http_request& aRequest, std::size_t& aSent)
+  {
+    const wire_request wire = ToWire(aRequest, mPeer);
+    const auto [code, bytes] = Await<std::size_t>(
+      [&](auto aHandler) { http::async_write(mStream, wire, std::move(aHandler)); });
+    aSent = bytes;
+    return code;
+  }
+
+  void Receive(const http_request& aRequest, std::size_t aMaxBody, http_exchange& aExchange)
+  {
+    response_parser parser;
+    parser.body_limit(aMaxBody);
+    parser.header_limit(kResponseHeaderBytes);
+    parser.skip(aRequest.mMethod == "HEAD");
+    const auto [code, bytes] = Await<std::size_t>(
+      [&](auto aHandler) { http::async_read(mStream, mBuffer, parser, std::move(aHandler)); });
+    if (code) {
+      aExchange.mError = DescribeFailure(code, aExchange.mBytesSent, mPeer);
+      return;
+    }
+    aExchange.mExtraBytes = mBuffer.size() > 0;
+    aExchange.mReusable = parser.keep_alive() && !aExchange.mExtraBytes;
+    auto message = parser.release();
+    http_response response;
+    response.mStatus = message.result_int();
+    response.mHeaders = FromBeast(message);
+    response.mBody = std::move(message.body());
+    aExchange.mResponse = std::move(response);
+  }
+
+  static bool HandOverLines(std::string& aArrived,
+                            const std::function<bool(std::string_view)>& aLine)
+  {
+    std::size_t begin = 0;
+    bool more = true;
+    for (std::size_t end = aArrived.find('\n'); more && end != std::string::npos;
+         end = aArrived.find('\n', begin)) {
+      more = aLine(std::string_view(aArrived).substr(begin, end - begin));
+      begin = end + 1;
+    }
+    aArrived.erase(0, begin);
+    return more;
+  }
+
+  void Close()
+  {
+    beast::error_code ignored;
+    mStream.socket().close(ignored);
+  }
+
+  endpoint mPeer;
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+};
+
+} // namespace
+
+io_result<std::unique_ptr<http_connection>> http_connection::Connect(fiber_runtime& aRuntime,
+                                                                     const endpoint& aPeer,
+                                                                     instant aDeadline)
+{
+  auto connection = std::make_unique<beast_connection>(aRuntime.Context(), aPeer);
+  const beast::error_code code = connection->Open(aDeadline);
+  if (code) {
+    return boost::outcome_v2::failure(DescribeFailure(code, 0, aPeer));
+  }
+  return std::unique_ptr<http_connection>(std::move(connection));
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libnet/http_pool.cpp
@@ -0,0 +1,88 @@
+#include "briarwind/http_client.h"
+
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace briarwind {
+
+namespace {
+
+constexpr std::size_t kMaxBodyBytes = std::size_t{ 64 } << 20U;
+
+using connection_pointer = std::unique_ptr<http_connection>;
+
+io_result<http_response> ToResult(http_exchange&& aExchange)
+{
+  if (!aExchange.mResponse) {
+    return boost::outcome_v2::failure(std::move(aExchange.mError));
+  }
+  return std::move(*aExchange.mResponse);
+}
+
+} // namespace
+
+io_result<http_response> HttpCall(fiber_runtime& aRuntime, const endpoint& aPeer,
+                                  const http_request& aRequest, instant aDeadline)
+{
+  auto connected = http_connection::Connect(aRuntime, aPeer, aDeadline);
+  if (!connected) {
+    return boost::outcome_v2::failure(std::move(connected).error());
+  }
+  return ToResult(connected.value()->Exchange(aRequest, aDeadline, kMaxBodyBytes));
+}
+
+struct http_pool::state
+{
+  fiber_runtime* mRuntime;
+  std::size_t mIdlePerPeer;
+  std::map<endpoint, std::vector<connection_pointer>> mIdle;
+
+  connection_pointer TakeIdle(const endpoint& aPeer)
+  {
+    auto& idle = mIdle[aPeer];
+    while (!idle.empty()) {
+      connection_pointer last = std::move(idle.back());
+      idle.pop_back();
+      if (last->IsOpen()) {
+        return last;
+      }
+    }
+    return nullptr;
+  }
+
+  void PutBack(const endpoint& aPeer, connection_pointer aConnection)
+  {
+    auto& idle = mIdle[aPeer];
+    if (idle.size() < mIdlePerPeer) {
+      idle.push_back(std::move(aConnection));
+    }
+  }
+};
+
+http_pool::http_pool(fiber_runtime& aRuntime, std::size_t aIdlePerPeer)
+  : mState(std::make_unique<state>(state{ &aRuntime, aIdlePerPeer, {} }))
+{
+}
+
+http_pool::~http_pool() = default;
+
+io_result<http_response> http_pool::Call(const endpoint& aPeer, const http_request& aRequest,
+                                         instant aDeadline)
+{
+  connection_pointer connection = mState->TakeIdle(aPeer);
+  if (!connection) {
+    auto connected = http_connection::Connect(*mState->mRuntime, aPeer, aDeadline);
+    if (!connected) {
+      return boost::outcome_v2::failure(std::move(connected).error());
+    }
+    connection = std::move(connected).value();
+  }
+  http_exchange exchange = connection->Exchange(aRequest, aDeadline, kMaxBodyBytes);
+  if (exchange.mReusable) {
+    mState->PutBack(aPeer, std::move(connection));
+  }
+  return ToResult(std::move(exchange));
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libnet/http_server.cpp
@@ -0,0 +1,164 @@
+#include "briarwind/http_server.h"
+
+#include "await.h"
+#include "beast_convert.h"
+#include "http_session.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <algorithm>
+#include <array>
+#include <system_error>
+#include <utility>
+#include <vector>
+
+namespace briarwind {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr milliseconds kDrainPoll{ 5 };
+constexpr milliseconds kAcceptRetry{ 50 };
+
+tcp::acceptor OpenAcceptor(asio::io_context& aContext, const endpoint& aListen)
+{
+  const tcp::endpoint local = ToAsio(aListen);
+  tcp::acceptor acceptor(aContext);
+  acceptor.open(local.protocol());
+  acceptor.set_option(tcp::acceptor::reuse_address(true));
+  acceptor.bind(local);
+  acceptor.listen(asio::socket_base::max_listen_connections);
+  acceptor.non_blocking(true);
+  return acceptor;
+}
+
+} // namespace
+
+std::string_view ToString(http_server_refusal aRefusal)
+{
+  static constexpr std::array<std::string_view, 5> kNames{
+    "too-many-connections", "body-too-large", "header-too-large", "timeout", "malformed",
+  };
+  return kNames.at(static_cast<std::size_t>(aRefusal));
+}
+
+// Shared with the fibers of the connections, which may outlive the server object.
+struct http_server::state
+{
+  state(fiber_runtime& aRuntime, const endpoint& aListen, http_handler aHandler,
+        http_server_limits aLimits)
+    : mRuntime(&aRuntime)
+    , mAcceptor(OpenAcceptor(aRuntime.Context(), aListen))
+  {
+    const tcp::endpoint local = mAcceptor.local_endpoint();
+    mLocal = { local.address().to_string(), local.port() };
+    mShared.mHandler = std::move(aHandler);
+    mShared.mLimits = aLimits;
+  }
+
+  void AcceptAll(const std::shared_ptr<state>& aSelf)
+  {
+    while (!mShared.mStopping) {
+      auto [code, socket] =
+        AwaitFrom(std::make_tuple(boost::system::error_code(), tcp::socket(mRuntime->Context())),
+                  [&](auto aHandler) { mAcceptor.async_accept(std::move(aHandler)); });
+      if (!code) {
+        Serve(aSelf, std::move(socket));
+      } else if (!mShared.mStopping) {
+        SleepFor(kAcceptRetry); // out of descriptors, most likely
+      }
+    }
+  }
+
+  void Serve(const std::shared_ptr<state>& aSelf, tcp::socket aSocket)
+  {
+    if (mSessions.size() >= mShared.mLimits.mConnections) {
+      mShared.Refuse(http_server_refusal::kTooManyConnections);
+      return;
+    }
+    auto session = std::make_shared<http_session>(std::move(aSocket), mShared);
+    mSessions.push_back(session.get());
+    mRuntime->Spawn([aSelf, session] {
+      session->Run();
+      std::erase(aSelf->mSessions, session.get());
+    });
+  }
+
+  void Stop(const std::shared_ptr<state>& aSelf)
+  {
+    if (std::exchange(mShared.mStopping, true)) {
+      return;
+    }
+    // Connections that the kernel has accepted already would be reset with the listener.
+    boost::system::error_code code;
+    while (!code) {
+      tcp::socket socket(mRuntime->Context());
+      mAcceptor.accept(socket, code);
+      if (!code) {
+        Serve(aSelf, std::move(socket));
+      }
+    }
+    mAcceptor.close(code);
+  }
+
+  fiber_runtime* mRuntime;
+  tcp::acceptor mAcceptor;
+  endpoint mLocal;
+  http_session_shared mShared;
+  std::vector<http_session*> mSessions;
+};
+
+http_server::http_server(fiber_runtime& aRuntime, const endpoint& aListen, http_handler aHandler,
+                         http_server_limits aLimits)
+  : mState(std::make_shared<state>(aRuntime, aListen, std::move(aHandler), aLimits))
+{
+  aRuntime.Spawn([self = mState] { self->AcceptAll(self); });
+}
+
+http_server::~http_server()
+{
+  mState->Stop(mState);
+  std::ranges::for_each(mState->mSessions, &http_session::Abort);
+}
+
+endpoint http_server::Listening() const
+{
+  return mState->mLocal;
+}
+
+std::size_t http_server::Connections() const
+{
+  return mState->mSessions.size();
+}
+
+std::size_t http_server::InFlight() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(mState->mSessions, &http_session::IsBusy));
+}
+
+void http_server::OnRefusal(std::function<void(http_server_refusal)> aObserver)
+{
+  mState->mShared.mOnRefusal = std::move(aObserver);
+}
+
+void http_server::StopAccepting()
+{
+  mState->Stop(mState);
+}
+
+bool http_server::Drain(instant aDeadline)
+{
+  StopAccepting();
+  while (Connections() > 0) {
+    std::ranges::for_each(mState->mSessions, &http_session::CloseWhenIdle);
+    if (monotonic_clock::now() >= aDeadline) {
+      return false;
+    }
+    SleepFor(kDrainPoll);
+  }
+  return true;
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libnet/http_session.cpp
@@ -0,0 +1,306 @@
+#include "http_session.h"
+
+#include "await.h"
+#include "beast_convert.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace briarwind {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+using request_parser = http::request_parser<http::string_body>;
+using wire_response = http::response<http::string_body>;
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::size_t kFirstReadBytes = 4096;
+constexpr std::size_t kLingerBytes = std::size_t{ 16 } << 20U;
+constexpr milliseconds kLingerTime{ 1'000 };
+
+// How a failed read is answered and counted. Status 0: closed without an answer.
+struct read_failure
+{
+  unsigned mStatus;
+  http_server_refusal mRefusal;
+  const char* mWhat;
+};
+
+std::optional<read_failure> ClassifyFailure(beast::error_code aCode)
+{
+  if (aCode == http::error::body_limit) {
+    return read_failure{ 413, http_server_refusal::kBodyTooLarge, "the body is over the limit" };
+  }
+  if (aCode == http::error::header_limit) {
+    return read_failure{ 431, http_server_refusal::kHeaderTooLarge,
+                         "the header is over the limit" };
+  }
+  if (aCode == beast::error::timeout) {
+    return read_failure{ 408, http_server_refusal::kTimeout,
+                         "the request took too long to arrive" };
+  }
+  const bool malformed =
+    aCode.category() == http::make_error_code(http::error::bad_version).category();
+  const bool cut = aCode == http::error::end_of_stream || aCode == http::error::partial_message;
+  if (malformed && !cut) {
+    return read_failure{ 400, http_server_refusal::kMalformed, "the request is no valid HTTP/1.1" };
+  }
+  return std::nullopt;
+}
+
+wire_response ToWire(const http_response& aResponse, bool aKeepAlive)
+{
+  wire_response wire;
+  wire.version(kHttp11);
+  wire.result(aResponse.mStatus);
+  ToBeast(aResponse.mHeaders, wire);
+  wire.body() = aResponse.mBody;
+  wire.prepare_payload();
+  if (aResponse.mTruncateAt) {
+    wire.body().resize(std::min(*aResponse.mTruncateAt, wire.body().size()));
+  }
+  wire.keep_alive(aKeepAlive);
+  return wire;
+}
+
+class beast_chunk_writer : public http_chunk_writer
+{
+public:
+  beast_chunk_writer(beast::tcp_stream& aStream, milliseconds aTimeout)
+    : mStream(aStream)
+    , mTimeout(aTimeout)
+  {
+  }
+
+  bool Write(std::string_view aPiece) override
+  {
+    return WriteBuffers(http::make_chunk(asio::buffer(aPiece)));
+  }
+
+  bool Finish() { return WriteBuffers(http::make_chunk_last()); }
+
+private:
+  template<class Buffers>
+  bool WriteBuffers(const Buffers& aBuffers)
+  {
+    mStream.expires_after(mTimeout);
+    const auto [code, bytes] = Await<std::size_t>(
+      [&](auto aHandler) { asio::async_write(mStream, aBuffers, std::move(aHandler)); });
+    return !code;
+  }
+
+  beast::tcp_stream& mStream;
+  milliseconds mTimeout;
+};
+
+} // namespace
+
+struct http_session::state
+{
+  state(tcp::socket aSocket, const http_session_shared& aShared)
+    : mShared(aShared)
+    , mStream(std::move(aSocket))
+  {
+    beast::error_code ignored;
+    mStream.socket().set_option(tcp::no_delay(true), ignored);
+  }
+
+  // Waits for the first byte of the next request. False when there will be none.
+  bool WaitForRequest()
+  {
+    if (mBuffer.size() > 0) {
+      return true;
+    }
+    mStream.expires_after(mShared.mLimits.mIdleTimeout);
+    const auto [code, bytes] = Await<std::size_t>([&](auto aHandler) {
+      mStream.async_read_some(mBuffer.prepare(kFirstReadBytes), std::move(aHandler));
+    });
+    mBuffer.commit(bytes);
+    return !code;
+  }
+
+  beast::error_code Read(request_parser& aParser)
+  {
+    aParser.body_limit(mShared.mLimits.mBodyBytes);
+    aParser.header_limit(static_cast<std::uint32_t>(mShared.mLimits.mHeaderBytes));
+    mStream.expires_after(mShared.mLimits.mHeaderTimeout);
+    const auto [headerCode, headerBytes] = Await<std::size_t>([&](auto aHandler) {
+      http::async_read_header(mStream, mBuffer, aParser, std::move(aHandler));
+    });
+    if (headerCode) {
+      return headerCode;
+    }
+    mStream.expires_after(mShared.mLimits.mBodyTimeout);
+    if (beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
+      const beast::error_code code = WriteContinue();
+      if (code) {
+        return code;
+      }
+    }
+    const auto [bodyCode, bodyBytes] = Await<std::size_t>(
+      [&](auto aHandler) { http::async_read(mStream, mBuffer, aParser, std::move(aHandler)); });
+    return bodyCode;
+  }
+
+  beast::error_code WriteContinue()
+  {
+    const http::response<http::empty_body> proceed(http::status::continue_, kHttp11);
+    const auto [code, bytes] = Await<std::size_t>(
+      [&](auto aHandler) { http::async_write(mStream, proceed, std::move(aHandler)); });
+    return code;
+  }
+
+  // True when the connection may carry another request.
+  bool Answer(request_parser& aParser)
+  {
+    const bool keepAlive = aParser.keep_alive();
+    auto message = aParser.release();
+    http_request request;
+    request.mMethod = std::string(message.method_string());
+    request.mTarget = std::string(message.target());
+    request.mHeaders = FromBeast(message);
+    request.mBody = std::move(message.body());
+
+    const http_response response = mShared.mHandler(request);
+    if (response.mDrop) {
+      return false;
+    }
+    if (response.mStream) {
+      return WriteStream(response);
+    }
+    return Write(response, keepAlive && !mShared.mStopping);
+  }
+
+  bool Write(const http_response& aResponse, bool aKeepAlive)
+  {
+    const wire_response wire = ToWire(aResponse, aKeepAlive);
+    beast::error_code failed;
+    for (unsigned copy = 0; copy < aResponse.mCopies && !failed; ++copy) {
+      mStream.expires_after(mShared.mLimits.mWriteTimeout);
+      const auto [code, bytes] = Await<std::size_t>(
+        [&](auto aHandler) { http::async_write(mStream, wire, std::move(aHandler)); });
+      failed = code;
+    }
+    return !failed && aKeepAlive && !aResponse.mTruncateAt;
+  }
+
+  bool WriteStream(const http_response& aResponse)
+  {
+    http::response<http::empty_body> wire;
+    wire.version(kHttp11);
+    wire.result(aResponse.mStatus);
+    ToBeast(aResponse.mHeaders, wire);
+    wire.chunked(true);
+    http::response_serializer<http::empty_body> serializer(wire);
+    mStream.expires_after(mShared.mLimits.mWriteTimeout);
+    const auto [code, bytes] = Await<std::size_t>(
+      [&](auto aHandler) { http::async_write_header(mStream, serializer, std::move(aHandler)); });
+    if (code) {
+      return false;
+    }
+    beast_chunk_writer writer(mStream, mShared.mLimits.mWriteTimeout);
+    aResponse.mStream(writer);
+    return writer.Finish() && !mShared.mStopping;
+  }
+
+  void AnswerFailure(beast::error_code aCode)
+  {
+    const std::optional<read_failure> failure = ClassifyFailure(aCode);
+    if (!failure) {
+      return;
+    }
+    mShared.Refuse(failure->mRefusal);
+    const error_kind kind = failure->mStatus == 413 ? error_kind::kTooLarge : error_kind::kInvalid;
+    Write(ErrorResponse(failure->mStatus, { kind, "request", failure->mWhat }), false);
+    Linger();
+  }
+
+  // Reads on for a moment after a refusal: closing with unread bytes resets the connection, and the
+  // other side may lose the answer it has not read yet.
+  void Linger()
+  {
+    beast::error_code ignored;
+    mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    mStream.expires_after(kLingerTime);
+    std::size_t drained = 0;
+    beast::error_code failed;
+    while (!failed && drained < kLingerBytes) {
+      mBuffer.clear();
+      const auto [code, bytes] = Await<std::size_t>([&](auto aHandler) {
+        mStream.async_read_some(mBuffer.prepare(std::size_t{ 64 } << 10U), std::move(aHandler));
+      });
+      failed = code;
+      drained += bytes;
+    }
+  }
+
+  const http_session_shared& mShared;
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+  bool mBusy = false;
+};
+
+http_session::http_session(tcp::socket aSocket, const http_session_shared& aShared)
+  : mState(std::make_unique<state>(std::move(aSocket), aShared))
+{
+}
+
+http_session::~http_session() = default;
+
+void http_session::Run()
+{
+  bool more = true;
+  while (more && mState->WaitForRequest()) {
+    mState->mBusy = true;
+    request_parser parser;
+    const beast::error_code failed = mState->Read(parser);
+    if (failed) {
+      mState->AnswerFailure(failed);
+      more = false;
+    } else {
+      more = mState->Answer(parser);
+    }
+    mState->mBusy = false;
+  }
+  Abort();
+}
+
+bool http_session::IsBusy() const
+{
+  return mState->mBusy;
+}
+
+void http_session::CloseWhenIdle()
+{
+  beast::error_code code;
+  const bool arriving = mState->mStream.socket().available(code) > 0;
+  if (!mState->mBusy && !arriving) {
+    Abort();
+  }
+}
+
+void http_session::Abort()
+{
+  beast::error_code ignored;
+  mState->mStream.socket().close(ignored);
+}
+
+} // namespace briarwind
--- a/src/libtesting/main.cpp
+++ b/src/libtesting/main.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/TestRunner.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
 
+#include <cstdlib>
 #include <iostream>
 
 int main()
@@ -18,5 +19,7 @@
 
   CppUnit::CompilerOutputter outputter(&collected, std::cerr);
   outputter.write();
-  return collected.wasSuccessful() && collected.runTests() > 0 ? 0 : 1;
+  std::cerr.flush();
+  // Leaves without the destructors of the thread: they would wait for fibers that a test left over.
+  std::_Exit(collected.wasSuccessful() && collected.runTests() > 0 ? 0 : 1);
 }
