Settings: typed subtrees, change records and a book that never reverts

Cause: routers, schedulers and the command line need one typed view of the operators' settings. The book moves each subtree to higher revisions only. Deleting is a record too, so a subtree that a listing misses was lost by the store and stays. Ruled out: deleting the key, since a restored store would then look like a deletion. Shown: libsettings.settings_book_test (one property over random offers) and libsettings.settings_value_test pass.

--- /dev/null
+++ b/src/libsettings/settings_book.cpp
@@ -0,0 +1,111 @@
+#include "briarwind/settings_book.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <string_view>
+
+namespace briarwind {
+
+namespace {
+
+// Invalid values are rare; this bounds what a store full of them can make a process hold.
+constexpr std::size_t kMostInvalidValues = 100;
+
+} // namespace
+
+settings_book::settings_book()
+  : mView(std::make_shared<settings_view>())
+{
+}
+
+bool settings_book::Read(settings_view& aView, const settings_path& aPath,
+                         const settings_record& aRecord)
+{
+  if (aRecord.mDeleted) {
+    EraseSettings(aView, aPath);
+    return true;
+  }
+  const auto value = ParseSettings(aPath, aRecord.mSettings, mInvalidValues);
+  if (value) {
+    PutSettings(aView, *value);
+  }
+  return value.has_value();
+}
+
+book_outcome settings_book::Offer(settings_view& aView, const stored_value& aValue)
+{
+  const auto path = PathOfStoreKey(aValue.mKey);
+  if (!path) {
+    return book_outcome::kSame;
+  }
+  const auto held = mEntries.find(aValue.mKey);
+  const store_revision heldRevision = held == mEntries.end() ? 0 : held->second.mRevision;
+  if (aValue.mModified < heldRevision) {
+    ++mOlderOffers;
+    return book_outcome::kOlder;
+  }
+  if (aValue.mModified == heldRevision) {
+    return book_outcome::kSame;
+  }
+  const auto record = Settle([&] { return DecodeSettingsRecord(aValue.mValue); });
+  if (!record) {
+    mInvalidValues.push_back(
+      { severity::kError, ToString(*path), aValue.mValue, record.error().mWhat });
+  }
+  if (mInvalidValues.size() > kMostInvalidValues) {
+    mInvalidValues.erase(mInvalidValues.begin());
+  }
+  if (!record || !Read(aView, *path, record.value())) {
+    return book_outcome::kInvalid;
+  }
+  mEntries[aValue.mKey] = { aValue.mModified, record.value() };
+  aView.mRevision = std::max(aView.mRevision, aValue.mModified);
+  return book_outcome::kApplied;
+}
+
+book_outcome settings_book::Apply(const stored_value& aValue)
+{
+  auto next = std::make_shared<settings_view>(*mView);
+  const book_outcome outcome = Offer(*next, aValue);
+  if (outcome == book_outcome::kApplied) {
+    mView = std::move(next);
+  }
+  return outcome;
+}
+
+listing_outcome settings_book::ApplyListing(const store_listing& aListing)
+{
+  auto next = std::make_shared<settings_view>(*mView);
+  listing_outcome total;
+  // Deleting leaves a record behind, so a subtree that is missing was lost by the store.
+  total.mOlder = CountMissing(aListing);
+  mOlderOffers += static_cast<std::uint64_t>(total.mOlder);
+  for (const stored_value& each : aListing.mValues) {
+    const book_outcome outcome = Offer(*next, each);
+    total.mApplied += outcome == book_outcome::kApplied ? 1 : 0;
+    total.mOlder += outcome == book_outcome::kOlder ? 1 : 0;
+    total.mInvalid += outcome == book_outcome::kInvalid ? 1 : 0;
+  }
+  if (total.mApplied > 0) {
+    mView = std::move(next);
+  }
+  return total;
+}
+
+int settings_book::CountMissing(const store_listing& aListing) const
+{
+  std::set<std::string_view> listed;
+  std::ranges::transform(aListing.mValues, std::inserter(listed, listed.end()),
+                         &stored_value::mKey);
+  return static_cast<int>(std::ranges::count_if(
+    mEntries, [&](const auto& aEntry) { return !listed.contains(aEntry.first); }));
+}
+
+const settings_book::entry* settings_book::Find(const settings_path& aPath) const
+{
+  const auto found = mEntries.find(StoreKey(aPath));
+  return found == mEntries.end() ? nullptr : &found->second;
+}
+
+} // namespace briarwind
