--- a/src/include/briarwind/config_store.h
+++ b/src/include/briarwind/config_store.h
@@ -70,6 +70,13 @@
   /// All keys that start with the prefix, sorted.
   virtual io_result<store_listing> List(std::string_view aPrefix, instant aDeadline) = 0;
 
+  /// At least the newest key under the prefix, with its revision and perhaps without its value; for
+  /// a reader that only asks whether it is up to date.
+  virtual io_result<store_listing> Newest(std::string_view aPrefix, instant aDeadline)
+  {
+    return List(aPrefix, aDeadline);
+  }
+
   /// Writes aValue when the key's revision is still aExpected (0: the key must not exist).
   virtual io_result<swap_result> Swap(std::string_view aKey, store_revision aExpected,
                                       std::string_view aValue, store_lease aLease,
--- /dev/null
+++ b/src/include/briarwind/store_client.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "briarwind/config_store.h"
+#include "briarwind/endpoint.h"
+#include "briarwind/fiber_runtime.h"
+#include "briarwind/metrics.h"
+
+#include <memory>
+#include <vector>
+
+namespace briarwind {
+
+/// The platform's store over HTTP, by the JSON form of the etcd v3 gateway. Any of the endpoints
+/// may answer. Each call that goes out is counted by kind, a watch as one.
+class etcd_store : public config_store
+{
+public:
+  etcd_store(fiber_runtime& aRuntime, std::vector<endpoint> aEndpoints, metrics& aMetrics);
+  ~etcd_store() override;
+
+  io_result<store_listing> List(std::string_view aPrefix, instant aDeadline) override;
+  io_result<store_listing> Newest(std::string_view aPrefix, instant aDeadline) override;
+  io_result<swap_result> Swap(std::string_view aKey, store_revision aExpected,
+                              std::string_view aValue, store_lease aLease,
+                              instant aDeadline) override;
+  io_result<swap_result> Delete(std::string_view aKey, store_revision aExpected,
+                                instant aDeadline) override;
+  io_result<store_lease> GrantLease(seconds aTimeToLive, instant aDeadline) override;
+  io_result<seconds> KeepAlive(store_lease aLease, instant aDeadline) override;
+  io_result<void> RevokeLease(store_lease aLease, instant aDeadline) override;
+  watch_end Watch(std::string_view aPrefix, store_revision aFrom,
+                  const std::function<bool(const watch_batch&)>& aObserver) override;
+
+private:
+  struct state;
+  std::unique_ptr<state> mState;
+};
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libnet/store_client.cpp
@@ -0,0 +1,250 @@
+#include "briarwind/store_client.h"
+
+#include "briarwind/http_client.h"
+#include "briarwind/settings_events.h"
+#include "store_wire.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarwind {
+
+namespace {
+
+constexpr std::string_view kPlace = "store";
+// A store that can be reached answers in milliseconds; the rest of the deadline is for the others.
+constexpr milliseconds kLeastShare{ 50 };
+// A watch without any line for this long is opened again, since its connection may be dead.
+constexpr milliseconds kWatchIdle{ 30'000 };
+constexpr milliseconds kWatchConnect{ 1'000 };
+
+enum class effect : std::uint8_t
+{
+  kReads,
+  kWrites,
+};
+
+struct call_kind
+{
+  std::string_view mName; // label of the counters
+  std::string_view mPath;
+  effect mEffect;
+};
+
+constexpr call_kind kList{ "list", "/v3/kv/range", effect::kReads };
+constexpr call_kind kNewest{ "newest", "/v3/kv/range", effect::kReads };
+constexpr call_kind kSwap{ "swap", "/v3/kv/txn", effect::kWrites };
+constexpr call_kind kDelete{ "delete", "/v3/kv/txn", effect::kWrites };
+constexpr call_kind kGrant{ "grant", "/v3/lease/grant", effect::kWrites };
+constexpr call_kind kKeepAlive{ "keep-alive", "/v3/lease/keepalive", effect::kReads };
+constexpr call_kind kRevoke{ "revoke", "/v3/lease/revoke", effect::kWrites };
+constexpr call_kind kWatch{ "watch", "/v3/watch", effect::kReads };
+
+http_request Request(const call_kind& aKind, std::string aBody)
+{
+  http_request request;
+  request.mMethod = "POST";
+  request.mTarget = aKind.mPath;
+  request.mHeaders.Set("Content-Type", "application/json");
+  request.mBody = std::move(aBody);
+  return request;
+}
+
+// A server that fails may have written all the same, so only a read can be called ineffective.
+error StatusError(const call_kind& aKind, const http_response& aResponse)
+{
+  const std::string what = "status " + std::to_string(aResponse.mStatus);
+  if (aResponse.mStatus == 404) {
+    return { error_kind::kNotFound, std::string(kPlace), what };
+  }
+  if (aResponse.mStatus < 500) {
+    return { error_kind::kInvalid, std::string(kPlace), what + " " + aResponse.mBody };
+  }
+  const error_kind kind =
+    aKind.mEffect == effect::kReads ? error_kind::kUnavailable : error_kind::kUnknownOutcome;
+  return { kind, std::string(kPlace), what };
+}
+
+bool NothingTookEffect(const error& aError)
+{
+  return aError.mKind == error_kind::kUnavailable || aError.mKind == error_kind::kTimeout;
+}
+
+} // namespace
+
+struct etcd_store::state
+{
+  state(fiber_runtime& aRuntime, std::vector<endpoint> aEndpoints, metrics& aMetrics)
+    : mRuntime(aRuntime)
+    , mEndpoints(std::move(aEndpoints))
+    , mMetrics(aMetrics)
+    , mPool(aRuntime)
+  {
+  }
+
+  io_result<std::string> CallOne(const call_kind& aKind, const std::string& aBody,
+                                 instant aDeadline);
+  io_result<std::string> Call(const call_kind& aKind, const std::string& aBody, instant aDeadline);
+
+  fiber_runtime& mRuntime;
+  std::vector<endpoint> mEndpoints;
+  metrics& mMetrics;
+  http_pool mPool;
+  std::size_t mPreferred = 0; // the endpoint that answered last
+};
+
+io_result<std::string> etcd_store::state::CallOne(const call_kind& aKind, const std::string& aBody,
+                                                  instant aDeadline)
+{
+  mMetrics.Count(kStoreCalls, aKind.mName);
+  const instant started = monotonic_clock::now();
+  auto answer = mPool.Call(mEndpoints.at(mPreferred), Request(aKind, aBody), aDeadline);
+  mMetrics.Observe(kStoreCallTime, monotonic_clock::now() - started, aKind.mName);
+  if (!answer) {
+    error failed = std::move(answer).error();
+    if (aKind.mEffect == effect::kReads) {
+      failed.mKind = error_kind::kUnavailable;
+    }
+    return boost::outcome_v2::failure(std::move(failed));
+  }
+  if (answer.value().mStatus != 200) {
+    return boost::outcome_v2::failure(StatusError(aKind, answer.value()));
+  }
+  return std::move(answer.value().mBody);
+}
+
+io_result<std::string> etcd_store::state::Call(const call_kind& aKind, const std::string& aBody,
+                                               instant aDeadline)
+{
+  io_result<std::string> answer =
+    IoError(error_kind::kUnavailable, std::string(kPlace), "no endpoint is known");
+  for (std::size_t left = mEndpoints.size(); left > 0; --left) {
+    const instant now = monotonic_clock::now();
+    const duration share = std::max<duration>((aDeadline - now) / left, kLeastShare);
+    answer = CallOne(aKind, aBody, std::min(aDeadline, now + share));
+    if (answer) {
+      return answer;
+    }
+    mMetrics.Count(kStoreFailures, ToString(answer.error().mKind));
+    if (!NothingTookEffect(answer.error())) {
+      return answer;
+    }
+    mPreferred = (mPreferred + 1) % mEndpoints.size();
+  }
+  return answer;
+}
+
+etcd_store::etcd_store(fiber_runtime& aRuntime, std::vector<endpoint> aEndpoints,
+                       metrics& aMetrics)
+  : mState(std::make_unique<state>(aRuntime, std::move(aEndpoints), aMetrics))
+{
+}
+
+etcd_store::~etcd_store() = default;
+
+namespace {
+
+// Reads an answer with one of the store_wire calls.
+template<class Value>
+io_result<Value> Decode(io_result<std::string> aAnswer, result<Value> (*aRead)(std::string_view))
+{
+  if (!aAnswer) {
+    return boost::outcome_v2::failure(std::move(aAnswer).error());
+  }
+  return Settle([&] { return aRead(aAnswer.value()); });
+}
+
+// A write whose answer cannot be read may have taken effect.
+template<class Value>
+io_result<Value> DecodeWrite(io_result<std::string> aAnswer,
+                             result<Value> (*aRead)(std::string_view))
+{
+  io_result<Value> read = Decode(std::move(aAnswer), aRead);
+  if (!read && read.error().mKind == error_kind::kProtocol) {
+    return IoError(error_kind::kUnknownOutcome, read.error().mWhere, read.error().mWhat);
+  }
+  return read;
+}
+
+} // namespace
+
+io_result<store_listing> etcd_store::List(std::string_view aPrefix, instant aDeadline)
+{
+  return Decode(mState->Call(kList, store_wire::ListBody(aPrefix), aDeadline),
+                store_wire::ReadListing);
+}
+
+io_result<store_listing> etcd_store::Newest(std::string_view aPrefix, instant aDeadline)
+{
+  return Decode(mState->Call(kNewest, store_wire::NewestBody(aPrefix), aDeadline),
+                store_wire::ReadListing);
+}
+
+io_result<swap_result> etcd_store::Swap(std::string_view aKey, store_revision aExpected,
+                                        std::string_view aValue, store_lease aLease,
+                                        instant aDeadline)
+{
+  const std::string body = store_wire::SwapBody(aKey, aExpected, aValue, aLease);
+  return DecodeWrite(mState->Call(kSwap, body, aDeadline), store_wire::ReadSwap);
+}
+
+io_result<swap_result> etcd_store::Delete(std::string_view aKey, store_revision aExpected,
+                                          instant aDeadline)
+{
+  return DecodeWrite(mState->Call(kDelete, store_wire::DeleteBody(aKey, aExpected), aDeadline),
+                     store_wire::ReadSwap);
+}
+
+io_result<store_lease> etcd_store::GrantLease(seconds aTimeToLive, instant aDeadline)
+{
+  return DecodeWrite(mState->Call(kGrant, store_wire::GrantBody(aTimeToLive), aDeadline),
+                     store_wire::ReadGrant);
+}
+
+io_result<seconds> etcd_store::KeepAlive(store_lease aLease, instant aDeadline)
+{
+  return Decode(mState->Call(kKeepAlive, store_wire::LeaseBody(aLease), aDeadline),
+                store_wire::ReadKeepAlive);
+}
+
+io_result<void> etcd_store::RevokeLease(store_lease aLease, instant aDeadline)
+{
+  auto answer = mState->Call(kRevoke, store_wire::LeaseBody(aLease), aDeadline);
+  if (!answer) {
+    return boost::outcome_v2::failure(std::move(answer).error());
+  }
+  return boost::outcome_v2::success();
+}
+
+watch_end etcd_store::Watch(std::string_view aPrefix, store_revision aFrom,
+                            const std::function<bool(const watch_batch&)>& aObserver)
+{
+  mState->mMetrics.Count(kStoreCalls, kWatch.mName);
+  auto connected =
+    http_connection::Connect(mState->mRuntime, mState->mEndpoints.at(mState->mPreferred),
+                             monotonic_clock::now() + kWatchConnect);
+  if (!connected) {
+    mState->mPreferred = (mState->mPreferred + 1) % mState->mEndpoints.size();
+    return watch_end::kCut;
+  }
+  watch_end ended = watch_end::kCut;
+  const auto onLine = [&](std::string_view aLine) {
+    const auto line = Settle([&] { return store_wire::ReadWatchLine(aLine); });
+    if (!line || line.value().mCancelled) {
+      const bool isCompacted = line && line.value().mCompacted > 0;
+      ended = isCompacted ? watch_end::kCompacted : watch_end::kCut;
+      return false;
+    }
+    const bool goesOn = aObserver(line.value().mBatch);
+    ended = goesOn ? watch_end::kCut : watch_end::kStopped;
+    return goesOn;
+  };
+  const auto streamed = connected.value()->Stream(
+    Request(kWatch, store_wire::WatchBody(aPrefix, aFrom)), kWatchIdle, onLine);
+  if (!streamed) {
+    mState->mMetrics.Count(kStoreFailures, ToString(streamed.error().mKind));
+  }
+  return ended;
+}
+
+} // namespace briarwind
