--- a/src/include/briarwind/settings_events.h
+++ b/src/include/briarwind/settings_events.h
@@ -46,9 +46,9 @@
                                             "The settings in force are confirmed again." };
 
 inline constexpr std::array kSettingsEvents{
-  kStoreLost,        kStoreBack,     kStoreRegressed, kWatchCompacted,  kSettingsApplied,
-  kSettingsInvalid,  kMemberRegistered, kMemberLapsed, kRecordChanged,  kPeerUnreachable,
-  kPeerBack,         kFreshnessLost, kFreshnessBack,
+  kStoreLost,       kStoreBack,        kStoreRegressed, kWatchCompacted, kSettingsApplied,
+  kSettingsInvalid, kMemberRegistered, kMemberLapsed,   kRecordChanged,  kPeerUnreachable,
+  kPeerBack,        kFreshnessLost,    kFreshnessBack,
 };
 
 inline constexpr metric_kind kStoreCalls{ metric_type::kCounter, "briarwind_store_calls_total",
--- a/src/libnet/store_client.cpp
+++ b/src/libnet/store_client.cpp
@@ -134,8 +134,7 @@
   return answer;
 }
 
-etcd_store::etcd_store(fiber_runtime& aRuntime, std::vector<endpoint> aEndpoints,
-                       metrics& aMetrics)
+etcd_store::etcd_store(fiber_runtime& aRuntime, std::vector<endpoint> aEndpoints, metrics& aMetrics)
   : mState(std::make_unique<state>(aRuntime, std::move(aEndpoints), aMetrics))
 {
 }
--- a/src/libnet/store_wire.cpp
+++ b/src/libnet/store_wire.cpp
@@ -183,8 +183,8 @@
 
 std::string DeleteBody(std::string_view aKey, store_revision aExpected)
 {
-  return TransactionBody(
-    aKey, aExpected, { { "request_delete_range", json::object{ { "key", Base64(aKey) } } } });
+  return TransactionBody(aKey, aExpected,
+                         { { "request_delete_range", json::object{ { "key", Base64(aKey) } } } });
 }
 
 std::string GrantBody(seconds aTimeToLive)
