--- a/src/librouting/instance_choice.cpp
+++ b/src/librouting/instance_choice.cpp
@@ -128,10 +128,9 @@
   {
     mWeights.clear();
     const double fleet = Seconds(aContext.mFleetLatency);
-    std::ranges::transform(aCandidates, std::back_inserter(mWeights),
-                           [&](const instance_record* aEach) {
-                             return std::exp(-Cost(*aEach, aContext) / fleet);
-                           });
+    std::ranges::transform(
+      aCandidates, std::back_inserter(mWeights),
+      [&](const instance_record* aEach) { return std::exp(-Cost(*aEach, aContext) / fleet); });
     if (std::accumulate(mWeights.begin(), mWeights.end(), 0.0) <= 0) {
       return Draw(aCandidates.size(), aRandom);
     }
--- a/src/librouting/instance_record.cpp
+++ b/src/librouting/instance_record.cpp
@@ -26,7 +26,8 @@
 
 instance_record::instance_record(std::string aName)
   : mName(std::move(aName))
-{}
+{
+}
 
 duration instance_record::Latency(duration aFleet, instant aNow) const
 {
--- a/src/librouting/request_limiter.cpp
+++ b/src/librouting/request_limiter.cpp
@@ -4,8 +4,8 @@
 
 namespace briarwind {
 
-request_limiter::verdict request_limiter::Check(const request_limits& aLimits,
-                                                std::size_t aRouters, instant aNow)
+request_limiter::verdict request_limiter::Check(const request_limits& aLimits, std::size_t aRouters,
+                                                instant aNow)
 {
   const auto routers = static_cast<int>(std::max<std::size_t>(1, aRouters));
   if (aLimits.mRequestsInFlight > 0 &&
@@ -80,7 +80,8 @@
   : mShare(aShare)
   , mMost(aMost)
   , mTokens(aMost / 2)
-{}
+{
+}
 
 void retry_budget::OnSuccess()
 {
--- a/src/librouting/request_queue.cpp
+++ b/src/librouting/request_queue.cpp
@@ -8,7 +8,8 @@
 
 request_queue::request_queue(std::size_t aCapacity)
   : mCapacity(aCapacity)
-{}
+{
+}
 
 void request_queue::Insert(queued_request aRequest, int aWeight)
 {
@@ -119,8 +120,7 @@
     return 0;
   }
   const auto& requests = own->second.mRequests;
-  return static_cast<std::size_t>(
-    std::distance(requests.begin(), requests.upper_bound(aDeadline)));
+  return static_cast<std::size_t>(std::distance(requests.begin(), requests.upper_bound(aDeadline)));
 }
 
 double request_queue::Share(std::string_view aOrganisation, int aWeight) const
--- a/src/librouting/share_ledger.cpp
+++ b/src/librouting/share_ledger.cpp
@@ -31,7 +31,8 @@
 share_ledger::share_ledger(std::string aSelf, duration aRelease)
   : mSelf(std::move(aSelf))
   , mRelease(aRelease)
-{}
+{
+}
 
 void share_ledger::Adopt(const member_view& aView, instant aNow)
 {
