--- /dev/null
+++ b/src/router/request_broker.cpp
@@ -0,0 +1,246 @@
+#include "request_broker.h"
+
+#include "router_events.h"
+
+#include <boost/beast/http/error.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
+#include <algorithm>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace briarwind {
+
+namespace {
+
+constexpr unsigned kServerError = 500;
+constexpr unsigned kServiceUnavailable = 503;
+
+reason ClassifyFailure(const http_exchange& aExchange)
+{
+  namespace http = boost::beast::http;
+  if (aExchange.mBytesSent == 0) {
+    return reason::kConnectFailed;
+  }
+  if (aExchange.mError.mKind == error_kind::kTooLarge) {
+    return reason::kOversized;
+  }
+  static const std::string kPartial = http::make_error_code(http::error::partial_message).message();
+  return aExchange.mError.mWhat == kPartial ? reason::kTruncated : reason::kConnectionLost;
+}
+
+} // namespace
+
+reason Classify(const http_exchange& aExchange, std::string_view aRequestId)
+{
+  if (!aExchange.mResponse) {
+    return ClassifyFailure(aExchange);
+  }
+  const http_response& response = *aExchange.mResponse;
+  if (response.mHeaders.Find(kRequestIdHeader) != aRequestId) {
+    return reason::kForeign;
+  }
+  if (aExchange.mExtraBytes) {
+    return reason::kExtraBytes;
+  }
+  if (response.mStatus == kServiceUnavailable && response.mHeaders.Find(kNotRunHeader) == "yes") {
+    return reason::kInstanceRefused;
+  }
+  return response.mStatus >= kServerError ? reason::kInstanceError : reason::kAnswered;
+}
+
+// One try on one instance. Outlives its caller when the answer is late.
+struct request_broker::attempt
+{
+  start_action mStart;
+  std::shared_ptr<waiting_caller> mCaller;
+  bool mSent = false;      // a byte may have been written
+  bool mAbandoned = false; // the caller no longer waits for it
+};
+
+struct request_broker::waiting_caller
+{
+  http_request mRequest;
+  std::string mRequestId;
+  instant mDeadline;
+  bool mSent = false;
+  std::shared_ptr<attempt> mAttempt; // the current one
+  std::optional<http_response> mResponse;
+  std::optional<conclude_action> mConclusion;
+  boost::fibers::mutex mMutex;
+  boost::fibers::condition_variable mConcluded;
+};
+
+request_broker::request_broker(fiber_runtime& aRuntime, routing_core& aCore, metrics& aMetrics,
+                               broker_limits aLimits)
+  : mRuntime(aRuntime)
+  , mCore(aCore)
+  , mMetrics(aMetrics)
+  , mLimits(aLimits)
+  , mConnections(aRuntime)
+{
+}
+
+request_broker::~request_broker() = default;
+
+routed_answer request_broker::Route(const caller_request& aCaller, const http_request& aRequest,
+                                    instant aDeadline)
+{
+  const request_number number = mNext++;
+  const auto caller = std::make_shared<waiting_caller>();
+  caller->mRequest = ToInstanceRequest(aRequest, aCaller);
+  caller->mRequestId = aCaller.mRequestId;
+  caller->mDeadline = aDeadline;
+  mCallers[number] = caller;
+  mCore.Arrive({ number, aCaller.mService, aCaller.mOrganisation, aCaller.mTeam, aDeadline,
+                 aCaller.mRepeatable },
+               monotonic_clock::now());
+  Pump();
+  {
+    std::unique_lock lock(caller->mMutex);
+    caller->mConcluded.wait_until(lock, aDeadline, [&] { return caller->mConclusion.has_value(); });
+  }
+  if (!caller->mConclusion) {
+    EndAtDeadline(number, *caller);
+  }
+  mCallers.erase(number);
+  const reason told = caller->mConclusion->mReason;
+  routed_answer answer{ told, caller->mSent, std::nullopt };
+  if (TraitsOf(told).mStatus == 0) {
+    answer.mResponse = std::move(caller->mResponse);
+  }
+  return answer;
+}
+
+void request_broker::EndAtDeadline(request_number aNumber, waiting_caller& aCaller)
+{
+  const instant now = std::max(monotonic_clock::now(), aCaller.mDeadline);
+  if (aCaller.mAttempt) {
+    // An attempt that has not sent anything yet will not do so any more: that is still not-run.
+    aCaller.mAttempt->mAbandoned = true;
+    const reason late =
+      aCaller.mAttempt->mSent ? reason::kDeadlineSent : reason::kDeadlineQueued;
+    mCore.Ended(aCaller.mAttempt->mStart.mAttempt, late, now);
+  }
+  mCore.Tick(now);
+  Pump();
+  if (!aCaller.mConclusion) {
+    mCore.Abandon(aNumber, now);
+    aCaller.mConclusion = conclude_action{ aNumber, reason::kDeadlineSent, false };
+  }
+}
+
+void request_broker::Pump()
+{
+  for (const routing_action& each : mCore.TakeActions()) {
+    std::visit([&](const auto& aAction) { Carry(aAction); }, each);
+  }
+}
+
+void request_broker::Tick()
+{
+  mCore.Tick(monotonic_clock::now());
+  Pump();
+}
+
+void request_broker::Carry(const start_action& aAction)
+{
+  const auto caller = mCallers.find(aAction.mRequest);
+  if (caller == mCallers.end()) {
+    mCore.Ended(aAction.mAttempt, reason::kDeadlineQueued, monotonic_clock::now());
+    mCore.Released(aAction.mAttempt, monotonic_clock::now());
+    return;
+  }
+  const auto started = std::make_shared<attempt>();
+  started->mStart = aAction;
+  started->mCaller = caller->second;
+  caller->second->mAttempt = started;
+  mRuntime.Spawn([this, started] { RunAttempt(started); });
+}
+
+void request_broker::Carry(const conclude_action& aAction)
+{
+  if (aAction.mRetryDenied) {
+    mMetrics.Count(meters::kRetriesDenied, TraitsOf(aAction.mReason).mWord);
+  }
+  const auto caller = mCallers.find(aAction.mRequest);
+  if (caller != mCallers.end()) {
+    caller->second->mConclusion = aAction;
+    caller->second->mConcluded.notify_all();
+  }
+}
+
+void request_broker::Carry(const retry_action& aAction)
+{
+  mMetrics.Count(meters::kRetries, TraitsOf(aAction.mReason).mWord);
+}
+
+void request_broker::Carry(const eject_action& aAction)
+{
+  mMetrics.Count(meters::kEjections);
+  LogEvent(events::kInstanceEjected, { Field("instance", aAction.mInstance) });
+}
+
+void request_broker::RunAttempt(const std::shared_ptr<attempt>& aAttempt)
+{
+  const start_action& start = aAttempt->mStart;
+  const instant connectBy =
+    std::min(monotonic_clock::now() + mLimits.mConnectTimeout, aAttempt->mCaller->mDeadline);
+  reason ended = reason::kConnectFailed;
+  auto connection = mConnections.Take(start.mInstance, start.mAddress, connectBy);
+  if (connection) {
+    if (aAttempt->mAbandoned) {
+      mConnections.Return(start.mInstance, std::move(connection).value());
+    } else {
+      ended = Exchange(*aAttempt, std::move(connection).value());
+    }
+  }
+  const instant now = monotonic_clock::now();
+  if (aAttempt->mCaller->mAttempt == aAttempt) {
+    aAttempt->mCaller->mAttempt.reset();
+  }
+  mCore.Ended(start.mAttempt, ended, now);
+  mCore.Released(start.mAttempt, now);
+  mConnections.Trim(start.mInstance, mCore.InstanceSlots(start.mInstance));
+  Pump();
+}
+
+reason request_broker::Exchange(attempt& aAttempt, std::unique_ptr<http_connection> aConnection)
+{
+  waiting_caller& caller = *aAttempt.mCaller;
+  const auto left = std::chrono::ceil<milliseconds>(caller.mDeadline - monotonic_clock::now());
+  caller.mRequest.mHeaders.Set(kDeadlineHeader,
+                               std::to_string(std::max<std::int64_t>(1, left.count())));
+  aAttempt.mSent = true;
+  // The exchange goes on after the deadline: the instance is still at work on it, and its slot is
+  // not free before it has answered.
+  http_exchange exchange = aConnection->Exchange(
+    caller.mRequest, caller.mDeadline + mLimits.mLinger, mLimits.mAnswerBytes);
+  const std::string& instance = aAttempt.mStart.mInstance;
+  if (exchange.mReusable && !aAttempt.mAbandoned) {
+    mConnections.Return(instance, std::move(aConnection));
+  } else {
+    aConnection.reset();
+    mConnections.Drop(instance);
+  }
+  const reason ended = Classify(exchange, caller.mRequestId);
+  if (aAttempt.mAbandoned) {
+    mMetrics.Count(meters::kLateAnswers, {}, exchange.mResponse ? 1 : 0);
+    return ended;
+  }
+  caller.mSent = caller.mSent || TraitsOf(ended).mOutcome != outcome::kNotRun;
+  if (TraitsOf(ended).mOutcome == outcome::kUnknown) {
+    LogEvent(events::kAnswerRejected,
+             { Field("instance", instance), Field("request", caller.mRequestId),
+               Field("reason", TraitsOf(ended).mWord), Field("why", exchange.mError.mWhat) });
+  }
+  if (TraitsOf(ended).mStatus == 0) {
+    caller.mResponse = std::move(exchange.mResponse);
+  }
+  return ended;
+}
+
+} // namespace briarwind
