HTTP pool: a check after the last wait before the first byte

Cause: a start decided before a pause must not be sent after it; connecting is a wait too. Change: http_pool::CallIf asks once the connection is there.

--- a/src/include/briarwind/http_client.h
+++ b/src/include/briarwind/http_client.h
@@ -64,6 +64,12 @@
   io_result<http_response> Call(const endpoint& aPeer, const http_request& aRequest,
                                 instant aDeadline);
 
+  /// Asked after the last wait before the first byte is sent; false: nothing is sent and the call
+  /// fails with kUnavailable.
+  using send_check = std::function<bool()>;
+  io_result<http_response> CallIf(const endpoint& aPeer, const http_request& aRequest,
+                                  instant aDeadline, const send_check& aMaySend);
+
 private:
   struct state;
   std::unique_ptr<state> mState;
--- a/src/libnet/http_pool.cpp
+++ b/src/libnet/http_pool.cpp
@@ -78,6 +78,10 @@
     }
     connection = std::move(connected).value();
   }
+  if (!aMaySend()) {
+    mState->PutBack(aPeer, std::move(connection));
+    return IoError(error_kind::kUnavailable, ToString(aPeer), "held back before it was sent");
+  }
   http_exchange exchange = connection->Exchange(aRequest, aDeadline, kMaxBodyBytes);
   if (exchange.mReusable) {
     mState->PutBack(aPeer, std::move(connection));
