Router: whole path from a caller's request to an instance's answer

Headers are checked with all findings in one 400, the host list is polled, each attempt runs in its own fiber and keeps its slot until the instance has answered, also after the caller's deadline. An answer that is truncated, too long, followed by more bytes or for another request id is unknown.

--- a/src/include/briarwind/routing_core.h
+++ b/src/include/briarwind/routing_core.h
@@ -112,6 +112,8 @@
   std::size_t Running() const;
   /// Slots of all instances of a service that this router may use.
   int Slots(std::string_view aService) const;
+  /// Slots of one instance that this router may use; 0 when it is leaving.
+  int InstanceSlots(std::string_view aInstance) const;
   /// Targets that this router itself knows to be leaving.
   std::vector<std::string> LeavingTargets() const;
   /// Number of instances that are not leaving.
--- a/src/librouting/routing_core.cpp
+++ b/src/librouting/routing_core.cpp
@@ -228,6 +228,13 @@
   return slots;
 }
 
+int routing_core::InstanceSlots(std::string_view aInstance) const
+{
+  const auto found = mState->mInstances.find(aInstance);
+  const bool usable = found != mState->mInstances.end() && !found->second->mLeaving;
+  return usable ? found->second->mSlots : 0;
+}
+
 std::vector<std::string> routing_core::LeavingTargets() const
 {
   std::vector<std::string> names;
--- a/src/router/caller_request.cpp
+++ b/src/router/caller_request.cpp
@@ -76,8 +76,8 @@
 
   void Note(std::string_view aName, std::string_view aValue, std::string aExpected)
   {
-    mFindings.push_back({ severity::kError, std::string(aName), std::string(aValue),
-                          std::move(aExpected) });
+    mFindings.push_back(
+      { severity::kError, std::string(aName), std::string(aValue), std::move(aExpected) });
   }
 
 private:
@@ -154,8 +154,9 @@
 void EraseConnectionHeaders(http_headers& aHeaders)
 {
   static constexpr std::array<std::string_view, 9> kNames{
-    "Connection", "Keep-Alive",        "Proxy-Connection", "Transfer-Encoding", "Content-Length",
-    "Trailer",    "Proxy-Authenticate", "Upgrade",          "TE",
+    "Connection",         "Keep-Alive",     "Proxy-Connection",
+    "Transfer-Encoding",  "Content-Length", "Trailer",
+    "Proxy-Authenticate", "Upgrade",        "TE",
   };
   std::ranges::for_each(kNames, [&](std::string_view aName) { aHeaders.Erase(aName); });
 }
--- /dev/null
+++ b/src/router/host_poller.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "briarwind/fiber_runtime.h"
+#include "briarwind/host_list.h"
+#include "briarwind/http_client.h"
+#include "briarwind/metrics.h"
+
+#include <cstddef>
+#include <functional>
+#include <vector>
+
+namespace briarwind {
+
+/// Reads the host list again and again and hands over each one that is not older than the last.
+class host_poller
+{
+public:
+  using observer = std::function<void(const host_list&)>;
+
+  host_poller(fiber_runtime& aRuntime, std::vector<endpoint> aSources, milliseconds aEvery,
+              metrics& aMetrics, observer aObserver);
+
+  /// Reads forever; to be run in a fiber.
+  void Run();
+
+private:
+  io_result<host_list> Read();
+  void Accept(const host_list& aList);
+  void NoteFailure(const error& aError);
+
+  std::vector<endpoint> mSources;
+  milliseconds mEvery;
+  metrics& mMetrics;
+  observer mObserver;
+  http_pool mPool;
+  std::size_t mSource = 0;
+  bool mLost = false;
+  bool mHasList = false;
+  std::int64_t mVersion = 0;
+  int mOlderInRow = 0;
+};
+
+} // namespace briarwind
--- a/src/router/instance_connections.cpp
+++ b/src/router/instance_connections.cpp
@@ -1,6 +1,7 @@
 #include "instance_connections.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace briarwind {
@@ -23,8 +24,9 @@
   return nullptr;
 }
 
-io_result<std::unique_ptr<http_connection>> instance_connections::Take(
-  const std::string& aInstance, const endpoint& aAddress, instant aDeadline)
+io_result<std::unique_ptr<http_connection>> instance_connections::Take(const std::string& aInstance,
+                                                                       const endpoint& aAddress,
+                                                                       instant aDeadline)
 {
   peer_connections& peer = mPeers[aInstance];
   if (peer.mAddress != aAddress) {
@@ -55,6 +57,15 @@
   --mPeers[aInstance].mBusy;
 }
 
+void instance_connections::TrimAll(const std::function<int(const std::string&)>& aMost)
+{
+  std::vector<std::string> names;
+  std::ranges::transform(mPeers, std::back_inserter(names),
+                         [](const auto& aEntry) { return aEntry.first; });
+  std::ranges::for_each(names,
+                        [&](const std::string& aInstance) { Trim(aInstance, aMost(aInstance)); });
+}
+
 void instance_connections::Trim(const std::string& aInstance, int aMost)
 {
   const auto found = mPeers.find(aInstance);
--- a/src/router/instance_connections.h
+++ b/src/router/instance_connections.h
@@ -3,6 +3,7 @@
 #include "briarwind/http_client.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -24,6 +25,8 @@
   void Return(const std::string& aInstance, std::unique_ptr<http_connection> aConnection);
   /// Closes idle connections until busy and idle ones are no more than aMost.
   void Trim(const std::string& aInstance, int aMost);
+  /// Trims all, each to what aMost says for it.
+  void TrimAll(const std::function<int(const std::string&)>& aMost);
   /// A connection that was taken is gone.
   void Drop(const std::string& aInstance);
 
--- /dev/null
+++ b/src/router/main.cpp
@@ -0,0 +1,20 @@
+#include "router.h"
+#include "router_options.h"
+
+#include "briarwind/fiber_runtime.h"
+
+#include <utility>
+
+int main(int aCount, char** aArguments)
+{
+  briarwind::router_options options;
+  briarwind::option_set flags("briarwind-router", "Routes short requests to service instances.");
+  briarwind::AddOptions(flags, options);
+  flags.ParseOrExit(aCount, aArguments);
+
+  briarwind::fiber_runtime runtime;
+  briarwind::router router(runtime, std::move(options));
+  const int status = router.Run();
+  // Fibers that wait for late answers or poll the host list never end on their own.
+  briarwind::fiber_runtime::Exit(status);
+}
--- a/src/router/request_broker.cpp
+++ b/src/router/request_broker.cpp
@@ -121,8 +121,7 @@
   if (aCaller.mAttempt) {
     // An attempt that has not sent anything yet will not do so any more: that is still not-run.
     aCaller.mAttempt->mAbandoned = true;
-    const reason late =
-      aCaller.mAttempt->mSent ? reason::kDeadlineSent : reason::kDeadlineQueued;
+    const reason late = aCaller.mAttempt->mSent ? reason::kDeadlineSent : reason::kDeadlineQueued;
     mCore.Ended(aCaller.mAttempt->mStart.mAttempt, late, now);
   }
   mCore.Tick(now);
@@ -135,8 +134,11 @@
 
 void request_broker::Pump()
 {
-  for (const routing_action& each : mCore.TakeActions()) {
-    std::visit([&](const auto& aAction) { Carry(aAction); }, each);
+  // Carrying out an action may cause further ones.
+  for (auto actions = mCore.TakeActions(); !actions.empty(); actions = mCore.TakeActions()) {
+    for (const routing_action& each : actions) {
+      std::visit([&](const auto& aAction) { Carry(aAction); }, each);
+    }
   }
 }
 
@@ -146,6 +148,12 @@
   Pump();
 }
 
+void request_broker::TrimConnections()
+{
+  mConnections.TrimAll(
+    [&](const std::string& aInstance) { return mCore.InstanceSlots(aInstance); });
+}
+
 void request_broker::Carry(const start_action& aAction)
 {
   const auto caller = mCallers.find(aAction.mRequest);
@@ -219,14 +227,15 @@
   // not free before it has answered.
   http_exchange exchange = aConnection->Exchange(
     caller.mRequest, caller.mDeadline + mLimits.mLinger, mLimits.mAnswerBytes);
+  const reason ended = Classify(exchange, caller.mRequestId);
   const std::string& instance = aAttempt.mStart.mInstance;
-  if (exchange.mReusable && !aAttempt.mAbandoned) {
+  const bool trusted = exchange.mReusable && TraitsOf(ended).mOutcome != outcome::kUnknown;
+  if (trusted && !aAttempt.mAbandoned) {
     mConnections.Return(instance, std::move(aConnection));
   } else {
     aConnection.reset();
     mConnections.Drop(instance);
   }
-  const reason ended = Classify(exchange, caller.mRequestId);
   if (aAttempt.mAbandoned) {
     mMetrics.Count(meters::kLateAnswers, {}, exchange.mResponse ? 1 : 0);
     return ended;
--- a/src/router/request_broker.h
+++ b/src/router/request_broker.h
@@ -16,7 +16,7 @@
 struct routed_answer
 {
   reason mReason = reason::kAnswered;
-  bool mSent = false; ///< a byte of it may have reached an instance
+  bool mSent = false;                     ///< a byte of it may have reached an instance
   std::optional<http_response> mResponse; ///< of the instance, when it may be handed over
 };
 
@@ -46,6 +46,8 @@
   void Pump();
   /// Time has passed.
   void Tick();
+  /// Closes idle connections beyond this router's share.
+  void TrimConnections();
 
 private:
   struct waiting_caller;
