--- a/src/include/briarwind/guarantee_cells.h
+++ b/src/include/briarwind/guarantee_cells.h
@@ -37,7 +37,7 @@
                                            std::span<const worker_info> aWorkers);
 
 /// Reports each guarantee that cannot be met together with the others, on all workers and again
-/// with the largest failure domain out. The place is `/organisations/<name>`. Withdrawals in force
+/// with each failure domain out, the largest among them. The place is `/organisations/<name>`. Withdrawals in force
 /// are left aside: this is about what the settings promise.
 findings CheckGuarantees(const settings_view& aSettings, std::span<const worker_info> aWorkers);
 
--- a/src/include/briarwind/job_core.h
+++ b/src/include/briarwind/job_core.h
@@ -227,7 +227,8 @@
   lease_id mLease;
   epoch_number mEpoch = 0;
   milliseconds mTimeToLive{ 0 };
-  milliseconds mRunTime{ 0 }; ///< declared run time that is left
+  milliseconds mRunTime{ 0 };    ///< declared run time that is left
+  milliseconds mResumeFrom{ 0 }; ///< run time that an earlier attempt has saved
   std::string mCommand;
   instant mNotAfter;
 };
--- a/src/libjobs/core_attempt.cpp
+++ b/src/libjobs/core_attempt.cpp
@@ -177,14 +177,16 @@
 void job_core::state::SendStart(job_entry& aJob, int aMember)
 {
   member_state& member = aJob.mMembers[aMember];
-  const instant notAfter = member.mStartsSent == 0 ? member.mLeaseUntil : mNow;
+  // A repeated start finds the task running or the reservation lapsed: either answer is certain.
+  const instant notAfter =
+    member.mStartsSent == 0 ? member.mLeaseUntil : mNow + mOptions.mReservationTimeToLive;
   member.mPhase = member_phase::kStarting;
   member.mStarted = true;
   ++member.mStartsSent;
   const milliseconds left = aJob.Spec().mExpected - aJob.mRecord.mProgress;
   Do(start_lease{ IdOf(aJob, aMember), NameOf(member.mWorker), member.mLease, mEpoch,
-                  mOptions.mLeaseTimeToLive, std::max(left, milliseconds(1)), aJob.Spec().mCommand,
-                  notAfter });
+                  mOptions.mLeaseTimeToLive, std::max(left, milliseconds(1)),
+                  aJob.mRecord.mProgress, aJob.Spec().mCommand, notAfter });
   member.mLeaseUntil = std::max(member.mLeaseUntil, mNow + mOptions.mLeaseTimeToLive);
 }
 
--- a/src/libjobs/guarantee_cells.cpp
+++ b/src/libjobs/guarantee_cells.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace briarwind {
 
@@ -23,20 +24,13 @@
   return found != aSettings.mDomains.end() && found->second.mWithdrawn;
 }
 
-/// The domain with the most accelerators, then the most cores; empty when there are fewer than two.
-std::string LargestDomain(std::span<const worker_info> aWorkers)
+std::set<std::string> DomainsOf(std::span<const worker_info> aWorkers)
 {
-  std::map<std::string, resource_shape> domains;
+  std::set<std::string> domains;
   for (const worker_info& each : aWorkers) {
-    domains[each.mDomain] = domains[each.mDomain] + each.mCapacity;
+    domains.insert(each.mDomain);
   }
-  if (domains.size() < 2) {
-    return {};
-  }
-  const auto size = [](const auto& aDomain) {
-    return std::pair(aDomain.second.mAccelerators, aDomain.second.mCores);
-  };
-  return std::ranges::max_element(domains, {}, size)->first;
+  return domains;
 }
 
 void ReportUnmet(std::span<const cell_demand> aDemands, std::span<const cell_place> aPlaces,
@@ -90,14 +84,17 @@
   findings found;
   const std::vector<cell_place> homes = BindHomes(demands, sites);
   ReportUnmet(demands, homes, "", found);
-  const std::string largest = LargestDomain(workers);
-  if (found.empty() && !largest.empty()) {
+  const std::set<std::string> domains = DomainsOf(workers);
+  if (!found.empty() || domains.size() < 2) {
+    return found;
+  }
+  for (const std::string& domain : domains) {
     std::vector<bool> out;
     for (const worker_info& each : workers) {
-      out.push_back(each.mDomain == largest);
+      out.push_back(each.mDomain == domain);
     }
     ReportUnmet(demands, BindAround(demands, sites, homes, out),
-                " while the failure domain " + largest + " is out", found);
+                " while the failure domain " + domain + " is out", found);
   }
   return found;
 }
