Jobs: properties over random clusters, settings and events

An independent checker looks at what runs on the fake workers after each event. Found by it and mended, each kept as a property: cells were read before they were planned; a job that fails on every worker of a small cluster never ended; a worker on probation that no job came to probe blocked gangs for good; a lease without a record was not counted on its worker at takeover, which gave it out twice. A cancellation made while the first record was being written is lost with the process, so its durability is now stated and the property holds those that were stored.

--- a/src/include/briarwind/job_core.h
+++ b/src/include/briarwind/job_core.h
@@ -72,7 +72,8 @@
   job_spec mSpec;
 };
 
-/// Cancelling what is over or not known does nothing.
+/// Cancelling what is over or not known does nothing. The cancellation outlives this process once
+/// `job_core::Find` shows a final state that is stored; answer the caller only then.
 struct job_cancelled
 {
   std::string mJob;
@@ -84,6 +85,8 @@
   std::string mJob;
   int mAttempt = 0;
   int mMember = 0;
+
+  bool operator==(const member_id&) const = default;
 };
 
 enum class call_outcome : std::uint8_t
--- a/src/libjobs/cell_table.cpp
+++ b/src/libjobs/cell_table.cpp
@@ -51,7 +51,7 @@
   }
   mCells = std::move(cells);
   mDemands = std::move(aDemands);
-  mPlannedFor.clear();
+  mPlanned = false;
   return without;
 }
 
@@ -76,6 +76,9 @@
 
 bool cell_table::IsPlanFor(const cluster_table& aCluster) const
 {
+  if (!mPlanned) {
+    return false;
+  }
   std::size_t listed = 0;
   const auto workers = aCluster.Workers();
   for (worker_index i = 0; i < workers.size(); ++i) {
@@ -99,6 +102,7 @@
 
 void cell_table::Plan(const cluster_table& aCluster)
 {
+  mPlanned = true;
   const auto workers = aCluster.Workers();
   mWorkerOf.clear();
   for (worker_index i = 0; i < workers.size(); ++i) {
--- a/src/libjobs/cell_table.h
+++ b/src/libjobs/cell_table.h
@@ -52,6 +52,7 @@
   std::vector<cell_demand> mDemands;
 
   // The plan depends on the settings and the listed workers alone.
+  bool mPlanned = false;
   std::vector<worker_info> mPlannedFor;
   std::vector<worker_index> mWorkerOf; ///< worker of each site
   std::vector<std::uint32_t> mSiteOf;  ///< site of each worker
--- a/src/libjobs/cluster_table.h
+++ b/src/libjobs/cluster_table.h
@@ -60,6 +60,7 @@
   bool mListed = false;
   bool mLost = false;
   worker_health mHealth;
+  int mOrphans = 0; ///< leases of unknown size that are being stopped here
 
   resource_shape mUsed; ///< all that is given out, over any tenure
   resource_shape mByTenure[kTenures];
--- a/src/libjobs/core_attempt.cpp
+++ b/src/libjobs/core_attempt.cpp
@@ -72,7 +72,7 @@
 {
   return std::ranges::all_of(aJob.mMembers, [&](const member_state& aMember) {
     const worker_slot& worker = mCluster.At(aMember.mWorker);
-    return FitsInto(worker.mUsed, worker.mInfo.mCapacity);
+    return worker.mOrphans == 0 && FitsInto(worker.mUsed, worker.mInfo.mCapacity);
   });
 }
 
@@ -336,6 +336,9 @@
 
 void job_core::state::On(const stop_finished& aEvent)
 {
+  if (OrphanAnswered(aEvent)) {
+    return;
+  }
   job_entry* const job = FindAttempt(aEvent.mMember);
   if (job == nullptr) {
     return;
@@ -369,6 +372,16 @@
      { timer_kind::kLapse, aJob.Spec().mId, aJob.mRecord.mAttempt, aMember });
 }
 
+/// Lets the jobs that wait for room on a worker look again.
+void job_core::state::LetReserve(worker_index aWorker)
+{
+  for (const occupant& each : mCluster.At(aWorker).mOccupants) {
+    if (each.mJob->mPhase == job_phase::kEvicting) {
+      mMayReserve.push_back(each.mJob->Spec().mId);
+    }
+  }
+}
+
 /// The member holds nothing on its worker any more.
 void job_core::state::MemberGone(job_entry& aJob, int aMember)
 {
@@ -381,11 +394,7 @@
   --aJob.mMembersHolding;
   mCluster.Give(member.mWorker, aJob.Spec().mShape, aJob.mTenure, { &aJob, aMember });
   mRoomChanged = true;
-  for (const occupant& each : mCluster.At(member.mWorker).mOccupants) {
-    if (each.mJob->mPhase == job_phase::kEvicting) {
-      mMayReserve.push_back(each.mJob->Spec().mId);
-    }
-  }
+  LetReserve(member.mWorker);
   if (aJob.mMembersHolding > 0) {
     return;
   }
--- a/src/libjobs/core_drain.cpp
+++ b/src/libjobs/core_drain.cpp
@@ -59,8 +59,8 @@
 {
   return std::ranges::all_of(aDrain.mParts, [&](const placement_part& aPart) {
     const worker_slot& worker = mCluster.At(aPart.mWorker);
-    return FitsInto(aDrain.mJob->Spec().mShape * aPart.mMembers,
-                    mCluster.Room(worker, room_kind::kFreeHeld));
+    return worker.mOrphans == 0 && FitsInto(aDrain.mJob->Spec().mShape * aPart.mMembers,
+                                            mCluster.Room(worker, room_kind::kFreeHeld));
   });
 }
 
--- a/src/libjobs/core_events.cpp
+++ b/src/libjobs/core_events.cpp
@@ -124,8 +124,13 @@
   }
   mQueue.Clear();
   mJobs.clear();
-  mTimers.clear();
+  std::erase_if(mTimers,
+                [](const auto& aTimer) { return aTimer.second.mKind != timer_kind::kProbe; });
   mDrains.clear();
+  for (const orphan_lease& each : mOrphans) {
+    mCluster.At(each.mWorker).mOrphans = 0;
+  }
+  mOrphans.clear();
   mMayReserve.clear();
   mDrainCandidate = nullptr;
   mLiveJobs = 0;
@@ -178,6 +183,10 @@
     ProbeWorker(mCluster.Find(aTimer.mName));
     return;
   }
+  if (aTimer.mKind == timer_kind::kOrphan) {
+    OrphanGone(mCluster.Find(aTimer.mName));
+    return;
+  }
   job_entry* const job = FindJob(aTimer.mName);
   if (job == nullptr) {
     return;
@@ -217,6 +226,7 @@
         mJobs.erase(aTimer.mName);
       }
       break;
+    case timer_kind::kOrphan:
     case timer_kind::kProbe:
       break;
   }
--- a/src/libjobs/core_leases.cpp
+++ b/src/libjobs/core_leases.cpp
@@ -10,6 +10,7 @@
 constexpr double kFleetRateGain = 0.02;
 // With more than this share of all tasks failing, the cause is not one worker.
 constexpr double kFleetRateExonerating = 0.5;
+constexpr int kMostFailuresFactor = 2;
 constexpr int kLongestQuarantineFactor = 64;
 
 } // namespace
@@ -92,13 +93,16 @@
   MemberGone(aJob, aMember);
   if (std::ranges::find(aJob.mFailedOn, worker) == aJob.mFailedOn.end()) {
     aJob.mFailedOn.push_back(worker);
+    aJob.mAvoid.push_back(worker);
   }
   ++aJob.mRecord.mFailures;
   aJob.mAborts = std::max(aJob.mAborts, aJob.mRecord.mFailures);
   const auto healthy = std::ranges::count_if(aJob.mFailedOn, [&](worker_index aWorker) {
     return !mCluster.At(aWorker).mHealth.mQuarantined;
   });
-  const bool atFault = healthy >= mOptions.mJobFailures;
+  // In a small or tightly adjacent group of workers there may be too few different ones.
+  const bool atFault = healthy >= mOptions.mJobFailures ||
+                       aJob.mRecord.mFailures >= kMostFailuresFactor * mOptions.mJobFailures;
   if (atFault && aJob.Spec().mRepeatable) {
     Note(decision_kind::kJobAtFault, aJob.Spec().mId);
     for (const worker_index each : aJob.mFailedOn) {
@@ -206,13 +210,29 @@
 
 void job_core::state::ProbeWorker(worker_index aWorker)
 {
-  if (aWorker == kNoWorker || !mCluster.At(aWorker).mHealth.mQuarantined) {
+  if (aWorker == kNoWorker) {
     return;
   }
-  mCluster.At(aWorker).mHealth.mProbing = true;
-  mCluster.SetQuarantined(aWorker, false);
-  Note(decision_kind::kWorkerProbed, {}, NameOf(aWorker));
-  mRoomChanged = true;
+  worker_health& health = mCluster.At(aWorker).mHealth;
+  if (health.mProbing && mCluster.At(aWorker).mOccupants.empty()) {
+    // No job that could be the probe came by, and gangs may need this worker. One more failure
+    // takes it out again.
+    health.mProbing = false;
+    health.mFailuresInRow = mOptions.mQuarantineAfter - 1;
+    Note(decision_kind::kWorkerCleared, {}, NameOf(aWorker), {}, "no job came to probe it");
+    Rebind();
+    mRoomChanged = true;
+    return;
+  }
+  if (health.mQuarantined) {
+    health.mProbing = true;
+    mCluster.SetQuarantined(aWorker, false);
+    Note(decision_kind::kWorkerProbed, {}, NameOf(aWorker));
+    mRoomChanged = true;
+  }
+  if (health.mProbing) {
+    At(mNow + mOptions.mProbeTime, { timer_kind::kProbe, NameOf(aWorker), 0, 0 });
+  }
 }
 
 } // namespace briarwind
--- a/src/libjobs/core_queue.cpp
+++ b/src/libjobs/core_queue.cpp
@@ -188,10 +188,16 @@
          team->mUsedAccelerators + aJob.Accelerators() > team->mQuota;
 }
 
-wait_reason job_core::state::WhyNoRoom(const job_entry& aJob, placement_failure aFailure)
+wait_reason job_core::state::WhyNoRoom(job_entry& aJob, placement_failure aFailure)
 {
   const placement_request whole = RequestFor(aJob, room_kind::kWholeLive);
   if (FindPlace(mCluster, whole).mParts.empty()) {
+    if (!aJob.mAvoid.empty()) {
+      // Better a worker on which it failed than none.
+      aJob.mAvoid.clear();
+      mRoomChanged = true;
+      return wait_reason::kNoCapacity;
+    }
     if (aJob.mWait != wait_reason::kDomainOut) {
       Note(decision_kind::kImpossibleForNow, aJob.Spec().mId);
     }
@@ -210,7 +216,7 @@
   request.mAdjacency = spec.mAdjacency;
   request.mRoom = aRoom;
   request.mPacking = mOptions.mPacking;
-  request.mAvoid = aJob.mFailedOn;
+  request.mAvoid = aJob.mAvoid;
   request.mMayProbe = spec.mRepeatable && spec.mMembers == 1 && !spec.mUrgent;
   return request;
 }
--- a/src/libjobs/core_state.h
+++ b/src/libjobs/core_state.h
@@ -34,9 +34,17 @@
   kWriteAgain, ///< a record of unknown fate is written again
   kGrace,      ///< work without checkpoints in a withdrawn domain has had its time
   kDropEnded,  ///< an ended job need no longer be known
+  kOrphan,     ///< an orphaned lease must be gone
   kProbe,      ///< a quarantined worker gets its probe
 };
 
+/// A lease that was found at takeover and that no record explains, while it is being stopped.
+struct orphan_lease
+{
+  member_id mMember;
+  worker_index mWorker = kNoWorker;
+};
+
 struct timer
 {
   timer_kind mKind = timer_kind::kLapse;
@@ -108,6 +116,7 @@
   void LeaveCell(job_entry& aJob);
   void StopMember(job_entry& aJob, int aMember, milliseconds aCheckpointBound);
   void MemberGone(job_entry& aJob, int aMember);
+  void LetReserve(worker_index aWorker);
   void LetLapse(job_entry& aJob, int aMember);
   void FinishIfOver(job_entry& aJob);
   void Requeue(job_entry& aJob, bool aDelayed);
@@ -137,7 +146,7 @@
   bool TryBackfill(job_entry& aJob, placement_request aRequest);
   bool IsOverQuota(const job_entry& aJob) const;
   void Wait(job_entry& aJob, wait_reason aReason, std::string aDetail = {});
-  wait_reason WhyNoRoom(const job_entry& aJob, placement_failure aFailure);
+  wait_reason WhyNoRoom(job_entry& aJob, placement_failure aFailure);
   placement_request RequestFor(const job_entry& aJob, room_kind aRoom) const;
   void Enqueue(job_entry& aJob);
   void Unqueue(job_entry& aJob);
@@ -167,8 +176,12 @@
 
   // core_takeover.cpp
   void On(const restored& aEvent);
+  void AddOrphan(const member_id& aMember, worker_index aWorker);
+  bool OrphanAnswered(const stop_finished& aEvent);
+  void OrphanGone(worker_index aWorker);
   void RestoreJob(const restored_record& aRecord, const std::vector<worker_listing>& aWorkers);
 
+  void AdoptUnrecorded(job_entry& aJob, const std::vector<worker_listing>& aWorkers);
   void AdoptAttempt(job_entry& aJob, const std::vector<worker_listing>& aWorkers);
 
   // core_explain.cpp
@@ -196,9 +209,11 @@
   std::unordered_map<std::string, std::unique_ptr<job_entry>> mJobs;
   std::multimap<instant, timer> mTimers;
   std::list<drain> mDrains;
+  std::vector<orphan_lease> mOrphans;
 
   epoch_number mEpoch = 0;
   bool mActing = false;
+  bool mSomeNotAsked = false; ///< at takeover, a listed worker could not be asked
   bool mFresh = false;
   std::string mFreshReason = "no view confirmed yet";
   bool mStoreReachable = true;
--- a/src/libjobs/core_takeover.cpp
+++ b/src/libjobs/core_takeover.cpp
@@ -27,12 +27,15 @@
     return;
   }
   mActing = true;
+  mSomeNotAsked = false;
   std::set<std::string> asked;
   for (const worker_listing& each : aEvent.mWorkers) {
     asked.insert(each.mWorker);
   }
   for (worker_index i = 0; i < mCluster.Workers().size(); ++i) {
-    mCluster.SetLost(i, !asked.contains(NameOf(i)));
+    const bool known = asked.contains(NameOf(i));
+    mCluster.SetLost(i, !known);
+    mSomeNotAsked = mSomeNotAsked || (mCluster.At(i).mListed && !known);
   }
   Rebind();
   for (const restored_record& each : aEvent.mRecords) {
@@ -50,8 +53,10 @@
       }
       if (lease.mState == lease_state::kRunning) {
         Note(decision_kind::kLeaseOrphaned, lease.mJob, worker.mWorker);
+        AddOrphan(member, mCluster.Find(worker.mWorker));
         Do(stop_lease{ member, worker.mWorker, lease.mLease, mEpoch, milliseconds(0) });
       } else if (lease.mState == lease_state::kReserved) {
+        AddOrphan(member, mCluster.Find(worker.mWorker));
         Do(release_lease{ member, worker.mWorker, lease.mLease, mEpoch });
       } else {
         Do(forget_lease{ worker.mWorker, lease.mLease });
@@ -62,6 +67,44 @@
   mScheduleNow = true;
 }
 
+/// The listing does not tell what an orphan takes, so its worker takes nothing until it is gone.
+void job_core::state::AddOrphan(const member_id& aMember, worker_index aWorker)
+{
+  if (aWorker == kNoWorker) {
+    return;
+  }
+  ++mCluster.At(aWorker).mOrphans;
+  mOrphans.push_back({ aMember, aWorker });
+}
+
+/// Takes the answer of a stop that was for an orphan. False when it was not.
+bool job_core::state::OrphanAnswered(const stop_finished& aEvent)
+{
+  const auto found = std::ranges::find(mOrphans, aEvent.mMember, &orphan_lease::mMember);
+  if (found == mOrphans.end()) {
+    return false;
+  }
+  const worker_index worker = found->mWorker;
+  mOrphans.erase(found);
+  if (aEvent.mOutcome == call_outcome::kUnknown) {
+    At(mNow + mOptions.mLeaseTimeToLive + mOptions.mLapseMargin,
+       { timer_kind::kOrphan, NameOf(worker), 0, 0 });
+  } else {
+    OrphanGone(worker);
+  }
+  return true;
+}
+
+void job_core::state::OrphanGone(worker_index aWorker)
+{
+  if (aWorker == kNoWorker || mCluster.At(aWorker).mOrphans == 0) {
+    return;
+  }
+  --mCluster.At(aWorker).mOrphans;
+  mRoomChanged = true;
+  LetReserve(aWorker);
+}
+
 void job_core::state::RestoreJob(const restored_record& aRecord,
                                  const std::vector<worker_listing>& aWorkers)
 {
@@ -74,11 +117,51 @@
     At(mNow + mOptions.mEndedKept, { timer_kind::kDropEnded, record.mSpec.mId, 0, 0 });
     return;
   }
-  if (record.mState == job_state::kQueued) {
-    Enqueue(job);
+  AdoptUnrecorded(job, aWorkers);
+  if (job.mRecord.mState == job_state::kAttempted) {
+    AdoptAttempt(job, aWorkers);
+    return;
+  }
+  if (mSomeNotAsked && record.mSpec.mRepeatable) {
+    // A worker that could not be asked may run an attempt that was not recorded.
+    job.mDelayed = true;
+    job.mWaitDetail = "a worker could not be asked at takeover";
+    Wait(job, wait_reason::kRetryDelay, job.mWaitDetail);
+    At(mNow + mOptions.mLeaseTimeToLive + mOptions.mLapseMargin,
+       { timer_kind::kRetry, record.mSpec.mId, 0, 0 });
     return;
   }
-  AdoptAttempt(job, aWorkers);
+  Enqueue(job);
+}
+
+/// While the store is away a repeatable job is started without a record. Such leases take the place
+/// of the recorded placements, so that they are gone before the job is tried again.
+void job_core::state::AdoptUnrecorded(job_entry& aJob, const std::vector<worker_listing>& aWorkers)
+{
+  job_record& record = aJob.mRecord;
+  int newest = record.mAttempt;
+  std::vector<member_placement> placements;
+  for (const worker_listing& worker : aWorkers) {
+    for (const listed_lease& lease : worker.mLeases) {
+      const bool holds =
+        lease.mState == lease_state::kReserved || lease.mState == lease_state::kRunning;
+      const bool recorded =
+        record.mState == job_state::kAttempted && lease.mAttempt <= record.mAttempt;
+      if (lease.mJob != record.mSpec.mId || !holds || recorded) {
+        continue;
+      }
+      newest = std::max(newest, lease.mAttempt);
+      placements.push_back({ lease.mMember, worker.mWorker, lease.mLease });
+    }
+  }
+  if (placements.empty()) {
+    return;
+  }
+  std::ranges::sort(placements, {}, &member_placement::mMember);
+  record.mState = job_state::kAttempted;
+  record.mAttempt = newest;
+  record.mPlacements = std::move(placements);
+  aJob.mDirty = true;
 }
 
 /// Takes over the members of a recorded attempt. Whatever is not certain counts as still running
@@ -122,7 +205,7 @@
   if (aJob.mTeam != nullptr) {
     aJob.mTeam->mUsedAccelerators += aJob.Accelerators();
   }
-  bool whole = !aJob.mMembers.empty();
+  bool whole = static_cast<int>(aJob.mMembers.size()) == record.mSpec.mMembers;
   const int members = static_cast<int>(aJob.mMembers.size());
   for (int i = 0; i < members; ++i) {
     member_state& member = aJob.mMembers[i];
@@ -151,10 +234,6 @@
     StopAttempt(aJob, after_stop::kQueueAgain, "takeover found the attempt incomplete",
                 milliseconds(0));
   }
-  if (aJob.mMembersHolding == 0 && aJob.mOrganisation != nullptr && aJob.mMembers.empty()) {
-    Requeue(aJob, false);
-    return;
-  }
   FinishIfOver(aJob);
 }
 
--- a/src/libjobs/job_entry.h
+++ b/src/libjobs/job_entry.h
@@ -106,6 +106,7 @@
   std::string mStopReason;
   std::vector<std::string> mEvicted;
   std::vector<worker_index> mFailedOn; ///< workers on which it failed
+  std::vector<worker_index> mAvoid;    ///< of those, the ones it keeps away from
   instant mRunningSince;
   milliseconds mProgressAtStart{ 0 };
 
--- a/src/libjobs/placement.cpp
+++ b/src/libjobs/placement.cpp
@@ -63,6 +63,11 @@
       if (!counts || std::ranges::find(mRequest.mAvoid, i) != mRequest.mAvoid.end()) {
         continue;
       }
+      const bool whole =
+        mRequest.mRoom == room_kind::kWholeLive || mRequest.mRoom == room_kind::kWholeListed;
+      if (worker.mOrphans > 0 && !whole) {
+        continue;
+      }
       int slots = SlotsIn(mCluster.Room(worker, mRequest.mRoom), mRequest.mShape);
       if (worker.mHealth.mProbing && !listedOnly) {
         slots = mRequest.mMayProbe && worker.mOccupants.empty() ? std::min(slots, 1) : 0;
