--- a/src/router/host_poller.cpp
+++ b/src/libnet/host_poller.cpp
@@ -1,7 +1,6 @@
-#include "host_poller.h"
-
-#include "router_events.h"
+#include "briarwind/host_poller.h"
 
+#include <array>
 #include <utility>
 
 namespace briarwind {
@@ -14,6 +13,18 @@
 
 } // namespace
 
+std::span<const event_kind> HostListEvents()
+{
+  static constexpr std::array kAll{ kHostListLost, kHostListBack, kHostListOlder };
+  return kAll;
+}
+
+std::span<const metric_kind> HostListMetrics()
+{
+  static constexpr std::array kAll{ kHostListFailures };
+  return kAll;
+}
+
 host_poller::host_poller(fiber_runtime& aRuntime, std::vector<endpoint> aSources,
                          milliseconds aEvery, metrics& aMetrics, observer aObserver)
   : mSources(std::move(aSources))
@@ -58,11 +69,11 @@
 void host_poller::Accept(const host_list& aList)
 {
   if (std::exchange(mLost, false)) {
-    LogEvent(events::kHostListBack, { Field("version", aList.mVersion) });
+    LogEvent(kHostListBack, { Field("version", aList.mVersion) });
   }
   const bool older = mHasList && aList.mVersion < mVersion;
   if (older && ++mOlderInRow < kOlderUntilBelieved) {
-    LogEvent(events::kHostListOlder, { Field("version", aList.mVersion), Field("held", mVersion) });
+    LogEvent(kHostListOlder, { Field("version", aList.mVersion), Field("held", mVersion) });
     return;
   }
   mOlderInRow = 0;
@@ -76,10 +87,10 @@
 
 void host_poller::NoteFailure(const error& aError)
 {
-  mMetrics.Count(meters::kHostListFailures);
+  mMetrics.Count(kHostListFailures);
   mSource = (mSource + 1) % mSources.size();
   if (!std::exchange(mLost, true)) {
-    LogEvent(events::kHostListLost, { Field("where", aError.mWhere), Field("why", aError.mWhat) });
+    LogEvent(kHostListLost, { Field("where", aError.mWhere), Field("why", aError.mWhat) });
   }
 }
 
--- a/src/libnet/http_pool.cpp
+++ b/src/libnet/http_pool.cpp
@@ -69,6 +69,12 @@
 
 io_result<http_response> http_pool::Call(const endpoint& aPeer, const http_request& aRequest,
                                          instant aDeadline)
+{
+  return CallIf(aPeer, aRequest, aDeadline, [] { return true; });
+}
+
+io_result<http_response> http_pool::CallIf(const endpoint& aPeer, const http_request& aRequest,
+                                           instant aDeadline, const send_check& aMaySend)
 {
   connection_pointer connection = mState->TakeIdle(aPeer);
   if (!connection) {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -1,7 +1,7 @@
 #include "router.h"
 
+#include "briarwind/host_poller.h"
 #include "caller_request.h"
-#include "host_poller.h"
 #include "request_broker.h"
 #include "router_events.h"
 
--- a/src/router/router_events.cpp
+++ b/src/router/router_events.cpp
@@ -7,9 +7,8 @@
 std::span<const event_kind> RouterEvents()
 {
   static constexpr std::array kAll{
-    kRouterStarted,  kRouterStopping,   kRouterDraining, kRouterStopped,   kRouterCutRequests,
-    kHostListLost,   kHostListBack,     kHostListOlder,  kInstanceEjected, kAnswerRejected,
-    kMembersChanged, kViewNotConfirmed, kViewConfirmed,
+    kRouterStarted,   kRouterStopping, kRouterDraining, kRouterStopped,    kRouterCutRequests,
+    kInstanceEjected, kAnswerRejected, kMembersChanged, kViewNotConfirmed, kViewConfirmed,
   };
   return kAll;
 }
@@ -21,9 +20,8 @@
 std::span<const metric_kind> RouterMetrics()
 {
   static constexpr std::array kAll{
-    kRequests,  kOutcomes,       kRetries,     kRetriesDenied,    kLateAnswers,
-    kEjections, kCallerRefusals, kRequestTime, kQueued,           kRunning,
-    kInstances, kMembers,        kConnections, kHostListFailures,
+    kRequests,    kOutcomes, kRetries, kRetriesDenied, kLateAnswers, kEjections,   kCallerRefusals,
+    kRequestTime, kQueued,   kRunning, kInstances,     kMembers,     kConnections,
   };
   return kAll;
 }
--- a/src/router/router_events.h
+++ b/src/router/router_events.h
@@ -19,14 +19,6 @@
 inline constexpr event_kind kRouterCutRequests{ 2005, log_level::kError, "router.cut-requests",
                                                 "Requests were still in flight at the end of the "
                                                 "drain time." };
-inline constexpr event_kind kHostListLost{ 2010, log_level::kWarning, "router.host-list-lost",
-                                           "The host list could not be read; the last one is "
-                                           "kept." };
-inline constexpr event_kind kHostListBack{ 2011, log_level::kInfo, "router.host-list-back",
-                                           "The host list can be read again." };
-inline constexpr event_kind kHostListOlder{ 2012, log_level::kWarning, "router.host-list-older",
-                                            "The host list went back to an older version and was "
-                                            "ignored." };
 inline constexpr event_kind kInstanceEjected{ 2020, log_level::kWarning, "router.instance-ejected",
                                               "An instance failed too often and gets no requests "
                                               "for a while." };
@@ -80,9 +72,6 @@
                                        "Routers that share the instances." };
 inline constexpr metric_kind kConnections{ metric_type::kGauge, "briarwind_router_connections", "",
                                            "Open connections of callers." };
-inline constexpr metric_kind kHostListFailures{ metric_type::kCounter,
-                                                "briarwind_router_host_list_failures_total", "",
-                                                "Failed reads of the host list." };
 
 /// All of the above.
 std::span<const metric_kind> RouterMetrics();
