--- /dev/null
+++ b/src/libutil/base64.cpp
@@ -0,0 +1,52 @@
+#include "briarwind/base64.h"
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/binary_from_base64.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+
+namespace briarwind {
+
+namespace {
+
+namespace iterators = boost::archive::iterators;
+
+constexpr std::size_t kGroup = 4; // characters that stand for three bytes
+
+using encoder =
+  iterators::base64_from_binary<iterators::transform_width<std::string_view::const_iterator, 6, 8>>;
+using decoder =
+  iterators::transform_width<iterators::binary_from_base64<std::string_view::const_iterator>, 8, 6>;
+
+} // namespace
+
+std::string EncodeBase64(std::string_view aBytes)
+{
+  std::string text(encoder(aBytes.begin()), encoder(aBytes.end()));
+  text.append((kGroup - text.size() % kGroup) % kGroup, '=');
+  return text;
+}
+
+result<std::string> DecodeBase64(std::string_view aText)
+{
+  std::string_view digits = aText;
+  while (digits.ends_with('=') && aText.size() - digits.size() < 2) {
+    digits.remove_suffix(1);
+  }
+  if (aText.size() % kGroup != 0 || digits.size() % kGroup == 1) {
+    return MakeError(error_kind::kProtocol, "base64", "the length is no multiple of four");
+  }
+  // The decoder reads a fourth character to complete the last byte, so whole groups are given to
+  // it.
+  std::string whole(digits);
+  whole.append(aText.size() - digits.size(), 'A');
+  try {
+    const std::string_view source = whole;
+    std::string bytes(decoder(source.begin()), decoder(source.end()));
+    bytes.resize(digits.size() * 3 / kGroup);
+    return bytes;
+  } catch (const iterators::dataflow_exception&) {
+    return MakeError(error_kind::kProtocol, "base64", "not a character of base64");
+  }
+}
+
+} // namespace briarwind
