--- a/src/libutil/base64.cpp
+++ b/src/libutil/base64.cpp
@@ -35,8 +35,11 @@
   if (aText.size() % kGroup != 0 || digits.size() % kGroup == 1) {
     return MakeError(error_kind::kProtocol, "base64", "the length is no multiple of four");
   }
-  // The decoder reads a fourth character to complete the last byte, so whole groups are given to
-  // it.
+  // The decoder takes padding for a zero, wherever it stands.
+  if (digits.find('=') != std::string_view::npos) {
+    return MakeError(error_kind::kProtocol, "base64", "padding in the middle");
+  }
+  // The decoder needs a fourth character to complete the last byte.
   std::string whole(digits);
   whole.append(aText.size() - digits.size(), 'A');
   try {
