Linter: worktrees share what passed, one run at a time

Cause: five worktrees linted the same files at once; load 39 on 10 cores, one run took over 10 minutes. Change: the record of passed files lies in the common git folder, a lock lets one run at a time work.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -7,8 +7,12 @@
 clang-format-19 --dry-run --Werror "${all[@]}"
 
 mapfile -t sources < <(printf '%s\n' "${all[@]}" | grep '\.cpp$')
-passed="$build/lint-passed"
+# What passed is kept beside the repository's objects, so that all its worktrees share it, and one
+# run at a time does the work.
+passed="$(git rev-parse --path-format=absolute --git-common-dir)/lint-passed"
 mkdir -p "$passed"
+exec 9>"$passed/lock"
+flock 9
 
 lint_one() {
   local source=$1
@@ -26,5 +30,5 @@
 }
 export -f lint_one
 export build passed
-printf '%s\n' "${sources[@]}" | xargs -P "$(nproc)" -I{} bash -c 'lint_one {}'
+printf '%s\n' "${sources[@]}" | xargs -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
 echo "lint: ${#all[@]} files, no finding"
