--- /dev/null
+++ b/src/include/briarwind/json_fields.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "briarwind/error.h"
+
+#include <boost/json.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace briarwind {
+
+/// Reads a text as one JSON object; fails with kInvalid and the offset of the first mistake.
+result<boost::json::object> ParseJsonObject(std::string_view aText);
+
+/// A field's whole number, also when it is written as a string of digits; the default when the
+/// field is absent or of another type.
+std::int64_t NumberField(const boost::json::object& aObject, std::string_view aName,
+                         std::int64_t aDefault = 0);
+std::string TextField(const boost::json::object& aObject, std::string_view aName);
+bool SwitchField(const boost::json::object& aObject, std::string_view aName, bool aDefault = false);
+/// The inner object of that name; an empty one when there is none.
+const boost::json::object& ObjectField(const boost::json::object& aObject, std::string_view aName);
+/// The array of that name; an empty one when there is none.
+const boost::json::array& ArrayField(const boost::json::object& aObject, std::string_view aName);
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libutil/json_fields_test.cpp
@@ -0,0 +1,40 @@
+#include "briarwind/json_fields.h"
+#include "briarwind/testing.h"
+
+using namespace briarwind;
+
+BW_STORY("fields of a JSON object")
+{
+  const auto read = Settle([] {
+    return ParseJsonObject(R"( {"n":7,"s":"12","t":"x","b":true,"o":{"n":1},"a":[1],"d":2.5} )");
+  });
+  BW_CHECK(read.has_value());
+  const auto& object = read.value();
+  BW_SECTION("are numbers, also as strings of digits")
+  {
+    BW_EQUAL(std::int64_t{ 7 }, NumberField(object, "n"));
+    BW_EQUAL(std::int64_t{ 12 }, NumberField(object, "s"));
+    BW_EQUAL(std::int64_t{ 5 }, NumberField(object, "t", 5));
+    BW_EQUAL(std::int64_t{ 5 }, NumberField(object, "d", 5));
+    BW_EQUAL(std::int64_t{ 5 }, NumberField(object, "none", 5));
+  }
+  BW_SECTION("are texts, switches, objects and arrays, empty when absent")
+  {
+    BW_EQUAL(std::string("x"), TextField(object, "t"));
+    BW_CHECK(TextField(object, "n").empty());
+    BW_CHECK(SwitchField(object, "b"));
+    BW_CHECK(!SwitchField(object, "n"));
+    BW_EQUAL(std::int64_t{ 1 }, NumberField(ObjectField(object, "o"), "n"));
+    BW_CHECK(ObjectField(object, "a").empty());
+    BW_EQUAL(std::size_t{ 1 }, ArrayField(object, "a").size());
+    BW_CHECK(ArrayField(object, "o").empty());
+  }
+  BW_SECTION("are not read from a broken text, from more than one value or from no object")
+  {
+    for (const char* text : { "", "{", "{} {}", "[1]", "{\"a\":}", "nope" }) {
+      const auto broken = Settle([&] { return ParseJsonObject(text); });
+      BW_CHECK(!broken.has_value());
+      BW_CHECK(broken.error().mKind == error_kind::kInvalid);
+    }
+  }
+}
