--- a/src/include/briarwind/guarantee_cells.h
+++ b/src/include/briarwind/guarantee_cells.h
@@ -37,8 +37,8 @@
                                            std::span<const worker_info> aWorkers);
 
 /// Reports each guarantee that cannot be met together with the others, on all workers and again
-/// with each failure domain out, the largest among them. The place is `/organisations/<name>`. Withdrawals in force
-/// are left aside: this is about what the settings promise.
+/// with each failure domain out, the largest among them. The place is `/organisations/<name>`.
+/// Withdrawals in force are left aside: this is about what the settings promise.
 findings CheckGuarantees(const settings_view& aSettings, std::span<const worker_info> aWorkers);
 
 } // namespace briarwind
--- a/src/libjobs/job_core_test.cpp
+++ b/src/libjobs/job_core_test.cpp
@@ -70,10 +70,7 @@
   void Submit(const job_spec& aSpec) { mPlatform.Send(job_submitted{ ++mRequests, aSpec }); }
   void RunFor(duration aTime) { mPlatform.RunFor(aTime); }
   job_phase PhaseOf(const std::string& aJob) { return mPlatform.Core().Find(aJob)->mPhase; }
-  job_state StateOf(const std::string& aJob)
-  {
-    return mPlatform.Core().Find(aJob)->mRecord.mState;
-  }
+  job_state StateOf(const std::string& aJob) { return mPlatform.Core().Find(aJob)->mRecord.mState; }
   wait_reason WaitOf(const std::string& aJob) { return mPlatform.Core().Explain(aJob)->mWait; }
 
   template<class Action>
@@ -364,9 +361,8 @@
 BW_STORY("a job that fails on several healthy workers is failed itself")
 {
   acting_platform system(6);
-  system.mPlatform.SetRuns([](const std::string& aJob) {
-    return fakes::true_run{ seconds(1), aJob == "bad" };
-  });
+  system.mPlatform.SetRuns(
+    [](const std::string& aJob) { return fakes::true_run{ seconds(1), aJob == "bad" }; });
   system.Submit(Job("bad", 1));
   system.RunFor(seconds(60));
   BW_CHECK(system.StateOf("bad") == job_state::kFailed);
--- a/src/libjobs/testing/fake_platform.h
+++ b/src/libjobs/testing/fake_platform.h
@@ -108,8 +108,7 @@
   void Send(const event& aEvent)
   {
     ++mEvents;
-    std::vector<action> actions =
-      mHandle ? mHandle(aEvent, mNow) : mCore.Handle(aEvent, mNow);
+    std::vector<action> actions = mHandle ? mHandle(aEvent, mNow) : mCore.Handle(aEvent, mNow);
     for (action& each : actions) {
       if (mObserver) {
         mObserver(each);
@@ -249,12 +248,11 @@
     std::uniform_int_distribution<std::int64_t> delay(mFaults.mLeastDelay.count(),
                                                       mFaults.mMostDelay.count());
     const std::uint64_t generation = mGeneration;
-    At(mNow + milliseconds(delay(mRandom)),
-       [this, generation, answer = std::move(aAnswer)] {
-         if (generation == mGeneration) {
-           Send(answer);
-         }
-       });
+    At(mNow + milliseconds(delay(mRandom)), [this, generation, answer = std::move(aAnswer)] {
+      if (generation == mGeneration) {
+        Send(answer);
+      }
+    });
   }
 
   enum class call_fate : std::uint8_t
@@ -395,10 +393,7 @@
     Later(std::move(answer));
   }
 
-  void Perform(forget_lease& aAction)
-  {
-    mWorkers[aAction.mWorker].mLeases.erase(aAction.mLease);
-  }
+  void Perform(forget_lease& aAction) { mWorkers[aAction.mWorker].mLeases.erase(aAction.mLease); }
 
   void Perform(renew_leases& aAction)
   {
