Worker stand-in: reservations and leases that fence starts

A lapsed, stopped or forgotten lease starts nothing; lower epochs and attempts are refused; starting twice is one start; a lease that is not renewed ends its task. Frozen, it answers nothing and times go on.

--- /dev/null
+++ b/src/standins/worker/main.cpp
@@ -0,0 +1,54 @@
+#include "briarwind/options.h"
+#include "briarwind/serve.h"
+#include "standins/worker/worker_service.h"
+
+#include <chrono>
+
+using namespace briarwind;
+
+namespace {
+
+constexpr milliseconds kTick{ 20 };
+constexpr milliseconds kDrainTime{ 2'000 };
+constexpr std::int64_t kMaxCount = 1'000'000;
+constexpr std::int64_t kMaxMemoryMb = 1'000'000'000;
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  endpoint listen{ "127.0.0.1", 0 };
+  worker_identity identity{
+    "w1", "d1", "r1", { 8, 128, 262'144 }, seconds{ 1 }, milliseconds{ 50 }
+  };
+  std::int64_t accelerators = identity.mCapacity.mAccelerators;
+  std::int64_t cores = identity.mCapacity.mCores;
+  option_set options("standin-worker", "Takes the place of a worker in tests.");
+  options.Add("listen", listen, "Address to take connections at; port 0 is any free port.");
+  options.Add("name", identity.mName, "Name of the worker.");
+  options.Add("failure-domain", identity.mDomain, "Its failure domain.");
+  options.Add("rack", identity.mRack, "Its rack.");
+  options.Add("accelerators", accelerators, 0, kMaxCount, "Accelerators it has.");
+  options.Add("cores", cores, 1, kMaxCount, "Cores it has.");
+  options.Add("memory-mb", identity.mCapacity.mMemoryMb, 1, kMaxMemoryMb, "Memory it has, in MB.");
+  options.Add("usage-lag", identity.mUsageLag, milliseconds{ 0 }, minutes{ 10 },
+              "Age of the usage that it reports.");
+  options.Add("checkpoint-time", identity.mCheckpointTime, milliseconds{ 0 }, minutes{ 10 },
+              "Time that it takes to write a checkpoint.");
+  options.ParseOrExit(aCount, aArguments);
+  identity.mCapacity.mAccelerators = static_cast<int>(accelerators);
+  identity.mCapacity.mCores = static_cast<int>(cores);
+  identity.mIncarnation = std::chrono::system_clock::now().time_since_epoch().count();
+
+  fiber_runtime runtime;
+  worker_service service(identity);
+  http_server server(runtime, listen,
+                     [&](const http_request& aRequest) { return service.Answer(aRequest); });
+  runtime.Spawn([&] {
+    while (true) {
+      SleepFor(kTick);
+      service.Tick();
+    }
+  });
+  ServeUntilSignal(runtime, server, kDrainTime, [&] { service.Thaw(); });
+}
