--- a/src/include/briarwind/settings_book.h
+++ b/src/include/briarwind/settings_book.h
@@ -49,6 +49,9 @@
   /// Applies a listing of all subtrees.
   listing_outcome ApplyListing(const store_listing& aListing);
 
+  /// Subtrees that are held but not in the listing: the store has lost them.
+  int CountMissing(const store_listing& aListing) const;
+
   /// The view in force. A later change makes a new view, so it may be kept while a fiber waits.
   std::shared_ptr<const settings_view> View() const { return mView; }
   /// Highest revision of all subtrees.
@@ -64,7 +67,6 @@
 
 private:
   book_outcome Offer(settings_view& aView, const stored_value& aValue);
-  int CountMissing(const store_listing& aListing) const;
   bool Read(settings_view& aView, const settings_path& aPath, const settings_record& aRecord);
 
   std::map<std::string, entry, std::less<>> mEntries; // by store key
