Peer link: fibers and callbacks of nng outlive their link safely

Cause: libnet.peer_link_test ended with a segmentation fault in 4 of 30 runs: nng calls back after a socket was closed, when the runtime object was gone. Waits now hold the thread's io_context, which is never freed, and serving fibers hold nothing of their socket.

--- a/src/libnet/peer_nng.cpp
+++ b/src/libnet/peer_nng.cpp
@@ -2,6 +2,8 @@
 
 #include "await.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <nng/protocol/reqrep0/rep.h>
 #include <nng/protocol/reqrep0/req.h>
 
@@ -12,6 +14,8 @@
 
 namespace briarwind {
 
+namespace asio = boost::asio;
+
 namespace {
 
 constexpr std::string_view kPlace = "peer";
@@ -29,8 +33,8 @@
 class nng_wait
 {
 public:
-  explicit nng_wait(fiber_runtime& aRuntime)
-    : mRuntime(aRuntime)
+  explicit nng_wait(asio::io_context& aContext)
+    : mContext(aContext)
   {
     nng_aio_alloc(&mOperation, &nng_wait::OnDone, this);
   }
@@ -60,10 +64,10 @@
   static void OnDone(void* aSelf)
   {
     auto* self = static_cast<nng_wait*>(aSelf);
-    self->mRuntime.Post([self] { self->mSignal.Notify(); });
+    asio::post(self->mContext, [self] { self->mSignal.Notify(); });
   }
 
-  fiber_runtime& mRuntime;
+  asio::io_context& mContext; // lives as long as its thread
   nng_aio* mOperation = nullptr;
   fiber_signal mSignal;
 };
@@ -113,6 +117,23 @@
   return code;
 }
 
+// Takes and answers requests until the socket is closed, which may be long gone by then.
+void Serve(nng_ctx aContext, asio::io_context& aExecutor,
+           const nng_listener_socket::handler& aAnswer)
+{
+  nng_wait wait(aExecutor);
+  for (;;) {
+    nng_ctx_recv(aContext, wait.Operation());
+    const int received = wait.Wait();
+    if (received == NNG_ECLOSED) {
+      return;
+    }
+    if (received == 0) {
+      Send(aContext, wait, aAnswer(TakeBytes(wait.Operation())));
+    }
+  }
+}
+
 endpoint BoundEndpoint(const endpoint& aAt, nng_listener aListener)
 {
   nng_sockaddr address{};
@@ -126,7 +147,7 @@
 } // namespace
 
 nng_peer::nng_peer(fiber_runtime& aRuntime, const endpoint& aPeer)
-  : mRuntime(aRuntime)
+  : mContext(aRuntime.Context())
   , mOpened(nng_req0_open(&mSocket))
 {
   if (mOpened != 0) {
@@ -152,7 +173,7 @@
     return Failure(error_kind::kUnavailable, opened);
   }
   const context_closer closer(context);
-  nng_wait wait(mRuntime);
+  nng_wait wait(mContext);
   wait.SetTimeout(aDeadline);
   if (const int sent = Send(context, wait, aBytes); sent != 0) {
     return Failure(error_kind::kUnavailable, sent);
@@ -166,9 +187,7 @@
 }
 
 nng_listener_socket::nng_listener_socket(fiber_runtime& aRuntime, const endpoint& aAt,
-                                         std::size_t aContexts, handler aHandler)
-  : mRuntime(aRuntime)
-  , mHandler(std::move(aHandler))
+                                         std::size_t aContexts, const handler& aHandler)
 {
   nng_listener listener{};
   int code = nng_rep0_open(&mSocket);
@@ -184,7 +203,8 @@
   for (std::size_t i = 0; i < aContexts; ++i) {
     nng_ctx context{};
     nng_ctx_open(&context, mSocket);
-    mRuntime.Spawn([this, context] { Serve(context); });
+    aRuntime.Spawn(
+      [context, aHandler, &executor = aRuntime.Context()] { Serve(context, executor, aHandler); });
   }
 }
 
@@ -193,21 +213,4 @@
   nng_close(mSocket);
 }
 
-void nng_listener_socket::Serve(nng_ctx aContext)
-{
-  // A copy, since the fiber may outlive the socket.
-  const handler answer = mHandler;
-  nng_wait wait(mRuntime);
-  for (;;) {
-    nng_ctx_recv(aContext, wait.Operation());
-    const int received = wait.Wait();
-    if (received == NNG_ECLOSED) {
-      return;
-    }
-    if (received == 0) {
-      Send(aContext, wait, answer(TakeBytes(wait.Operation())));
-    }
-  }
-}
-
 } // namespace briarwind
--- a/src/libnet/peer_nng.h
+++ b/src/libnet/peer_nng.h
@@ -27,7 +27,7 @@
   io_result<std::string> Exchange(const std::string& aBytes, instant aDeadline);
 
 private:
-  fiber_runtime& mRuntime;
+  boost::asio::io_context& mContext;
   nng_socket mSocket{};
   int mOpened; // 0, or the error of nng that kept the socket from being opened
 };
@@ -39,7 +39,7 @@
   using handler = std::function<std::string(const std::string&)>;
 
   nng_listener_socket(fiber_runtime& aRuntime, const endpoint& aAt, std::size_t aContexts,
-                      handler aHandler);
+                      const handler& aHandler);
   ~nng_listener_socket();
   nng_listener_socket(const nng_listener_socket&) = delete;
   nng_listener_socket& operator=(const nng_listener_socket&) = delete;
@@ -47,10 +47,6 @@
   const endpoint& Listening() const { return mListening; }
 
 private:
-  void Serve(nng_ctx aContext);
-
-  fiber_runtime& mRuntime;
-  handler mHandler;
   endpoint mListening;
   nng_socket mSocket{};
 };
