--- /dev/null
+++ b/src/ctl/in_force.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "ctl_command.h"
+
+#include "briarwind/freshness.h"
+#include "briarwind/member.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace briarwind {
+
+/// What one member answered about its settings.
+struct member_answer
+{
+  member mMember;
+  std::optional<freshness_report> mReport; ///< nothing when it did not answer
+  std::string mFreshness;                  ///< `fresh`, or why not
+};
+
+/// Asks members for the revisions that they have in force.
+class in_force_poll
+{
+public:
+  explicit in_force_poll(ctl_context& aContext);
+
+  /// Reads the live members and the member record. What the store does not tell stays as it was.
+  void ReadMembers(instant aDeadline);
+  /// Asks every live member and every member of the record at the same time.
+  void AskAll(instant aDeadline);
+
+  const std::vector<member_answer>& Answers() const { return mAnswers; }
+  const member_record& Record() const { return mRecord; }
+  bool HasMembers() const { return mHasMembers; }
+
+  /// Whether a majority of the record holds the revision, so that no start that contradicts it can
+  /// happen after the bound.
+  bool IsAccepted(store_revision aRevision) const;
+  /// Live members that do not hold the revision, or did not answer.
+  std::vector<member_answer> Without(store_revision aRevision) const;
+
+private:
+  bool Holds(const member& aMember, store_revision aRevision) const;
+  void AskOne(std::size_t aIndex, instant aDeadline);
+
+  ctl_context& mContext;
+  std::vector<member> mLive;
+  member_record mRecord;
+  bool mHasMembers = false;
+  std::vector<member_answer> mAnswers;
+};
+
+/// `{"id":…,"kind":…,"revision":…,"freshness":…}`
+boost::json::object ToJson(const member_answer& aAnswer);
+
+} // namespace briarwind
