Scheduler: settings, membership and freshness by the settings node

Cause: the scheduler polled the whole settings each half second and stopped starting in every outage of the store longer than 2 s. It now has the settings node: watch, member key, peers and the freshness rule, asked again after the last wait before each start.

--- a/src/ctl/ctl_command.cpp
+++ b/src/ctl/ctl_command.cpp
@@ -14,12 +14,15 @@
 namespace {
 
 constexpr std::array kCommands{
-  ctl_command{ "get", "PATH", 1, 1, Get, "settings of a subtree, a field, or a branch such as /teams" },
+  ctl_command{ "get", "PATH", 1, 1, Get,
+               "settings of a subtree, a field, or a branch such as /teams" },
   ctl_command{ "set", "PATH VALUE", 2, 2, Set, "changes a subtree or one field of it" },
-  ctl_command{ "delete", "PATH", 1, 1, Delete, "deletes a subtree, or puts a field to its default" },
+  ctl_command{ "delete", "PATH", 1, 1, Delete,
+               "deletes a subtree, or puts a field to its default" },
   ctl_command{ "diff", "PATH VALUE", 2, 2, Diff, "what set would change, with all findings" },
   ctl_command{ "history", "PATH", 1, 1, History, "last changes of a subtree: who, when, what" },
-  ctl_command{ "withdraw", "DOMAIN", 1, 1, Withdraw, "no task starts in the failure domain any more" },
+  ctl_command{ "withdraw", "DOMAIN", 1, 1, Withdraw,
+               "no task starts in the failure domain any more" },
   ctl_command{ "return", "DOMAIN", 1, 1, Return, "takes the failure domain back into service" },
   ctl_command{ "drain", "TARGET", 1, 1, Drain, "the target receives no new work" },
   ctl_command{ "undrain", "TARGET", 1, 1, Undrain, "the target receives work again" },
--- a/src/ctl/ctl_command.h
+++ b/src/ctl/ctl_command.h
@@ -22,12 +22,12 @@
 enum class ctl_status : std::uint8_t
 {
   kDone = 0,
-  kFailed = 1,        ///< refused; nothing was changed
-  kFindings = 2,      ///< the command line or the change is wrong; nothing was changed
-  kConflict = 3,      ///< somebody else changed it first; nothing was changed
-  kNotInForce = 4,    ///< stored, but not yet in force where it was waited for
-  kUnknown = 5,       ///< it may or may not have been stored
-  kNotReached = 6,    ///< the store or the schedulers were not reached; nothing was changed
+  kFailed = 1,     ///< refused; nothing was changed
+  kFindings = 2,   ///< the command line or the change is wrong; nothing was changed
+  kConflict = 3,   ///< somebody else changed it first; nothing was changed
+  kNotInForce = 4, ///< stored, but not yet in force where it was waited for
+  kUnknown = 5,    ///< it may or may not have been stored
+  kNotReached = 6, ///< the store or the schedulers were not reached; nothing was changed
 };
 
 /// What the commands share.
--- a/src/ctl/ctl_options.cpp
+++ b/src/ctl/ctl_options.cpp
@@ -34,9 +34,10 @@
     const std::string form = fmt::format("{} {}", each.mName, each.mArguments);
     text += fmt::format("    {:<24}{}\n", form, each.mHelp);
   }
-  text += "  VALUE and JOB are JSON, or @FILE with JSON in it, or @- for standard input.\n"
-          "  Exit status: 0 done, 1 refused, 2 findings, 3 conflict, 4 stored but not yet in force,\n"
-          "  5 unknown whether stored, 6 not reached. 1, 2, 3 and 6 changed nothing.\n";
+  text +=
+    "  VALUE and JOB are JSON, or @FILE with JSON in it, or @- for standard input.\n"
+    "  Exit status: 0 done, 1 refused, 2 findings, 3 conflict, 4 stored but not yet in force,\n"
+    "  5 unknown whether stored, 6 not reached. 1, 2, 3 and 6 changed nothing.\n";
   return text;
 }
 
--- a/src/ctl/guarantee_check.cpp
+++ b/src/ctl/guarantee_check.cpp
@@ -54,8 +54,8 @@
   return [before, workers](const settings_view& aView) {
     findings after = CheckGuarantees(aView, *workers);
     std::erase_if(after, [&](const finding& aFinding) {
-      return std::ranges::any_of(
-        before, [&](const finding& aOld) { return IsSame(aOld, aFinding); });
+      return std::ranges::any_of(before,
+                                 [&](const finding& aOld) { return IsSame(aOld, aFinding); });
     });
     return after;
   };
--- a/src/ctl/guarantee_check.h
+++ b/src/ctl/guarantee_check.h
@@ -7,7 +7,8 @@
 namespace briarwind {
 
 /// A check for changes below /organisations: reports guarantees that could not be met together any
-/// more and could be before. For other changes, or when the host list cannot be read, it only warns.
+/// more and could be before. For other changes, or when the host list cannot be read, it only
+/// warns.
 view_check GuaranteeCheck(ctl_context& aContext, const settings_path& aPath,
                           const settings_book& aBook);
 
--- a/src/ctl/in_force.cpp
+++ b/src/ctl/in_force.cpp
@@ -70,8 +70,8 @@
   }
   member_answer& filled = mAnswers.at(aIndex);
   filled.mMember.mId = body.member();
-  filled.mReport = freshness_report{ body.member(), body.held(), body.record(), body.has_read(),
-                                     std::nullopt };
+  filled.mReport =
+    freshness_report{ body.member(), body.held(), body.record(), body.has_read(), std::nullopt };
   filled.mFreshness = body.reason();
   // While the store is away the members tell the record; one that holds a change knows the last
   // record before it.
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -31,8 +31,8 @@
   briarwind::fiber_runtime runtime;
   briarwind::ctl_context context(runtime, options);
   const briarwind::ctl_result result = briarwind::RunCommand(context);
-  const std::string text = options.mJson ? boost::json::serialize(result.mBody) + "\n"
-                                         : briarwind::ToText(result.mBody);
+  const std::string text =
+    options.mJson ? boost::json::serialize(result.mBody) + "\n" : briarwind::ToText(result.mBody);
   std::fputs(text.c_str(), stdout);
   briarwind::fiber_runtime::Exit(static_cast<int>(result.mStatus));
 }
--- a/src/ctl/settings_commands.cpp
+++ b/src/ctl/settings_commands.cpp
@@ -115,8 +115,7 @@
   json::object body{ { "path", ToString(aRequest.mPath) }, { "change", aRequest.mId } };
   if (settled.mFate == swap_fate::kConflict) {
     const auto record = Settle([&] { return DecodeSettingsRecord(settled.mCurrent.mValue); });
-    return Conflict(aRequest.mPath, settled.mRevision,
-                    record ? record.value() : settings_record());
+    return Conflict(aRequest.mPath, settled.mRevision, record ? record.value() : settings_record());
   }
   if (settled.mFate == swap_fate::kNotStored) {
     body["state"] = "not stored";
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -8,21 +8,34 @@
 #include "briarwind/catalogue.h"
 #include "briarwind/host_poller.h"
 #include "briarwind/http_server.h"
-#include "briarwind/settings_book.h"
+#include "briarwind/settings_node.h"
 #include "briarwind/store_client.h"
 
 #include <array>
 #include <csignal>
+#include <random>
 #include <utility>
 
 namespace briarwind {
 
 namespace {
 
-constexpr milliseconds kSettingsPoll{ 500 };
-constexpr milliseconds kFreshFor{ 2'000 };
+constexpr milliseconds kFreshnessPoll{ 100 };
+constexpr milliseconds kLeaveTime{ 500 };
 constexpr milliseconds kResubmitWait{ 500 };
 
+settings_node_options NodeOptions(const scheduler_options& aOptions, const endpoint& aListening)
+{
+  settings_node_options options;
+  options.mSelf.mKind = member_kind::kScheduler;
+  options.mSelf.mHttp = aListening;
+  options.mSelf.mPeer = aOptions.mPeerListen;
+  options.mSelf.mDomain = aOptions.mDomain;
+  options.mPeers = aOptions.mPeers;
+  options.mSeed = std::random_device()();
+  return options;
+}
+
 } // namespace
 
 struct scheduler::state
@@ -32,18 +45,20 @@
     , mOptions(std::move(aOptions))
     , mStore(aRuntime, mOptions.mStores, mMetrics)
     , mEngine(aRuntime, mStore, mMetrics, mOptions,
-              [this](instant aNow) { return aNow <= mFreshUntil; })
+              [this](instant aNow) { return mNode.Check(aNow).IsFresh(); })
     , mHosts(aRuntime, mOptions.mHostLists, mOptions.mHostPoll, mMetrics,
              [this](const host_list& aList) { mEngine.OnHosts(aList); })
     , mServer(aRuntime, mOptions.mListen,
               [this](const http_request& aRequest) { return mApi->Handle(aRequest); })
+    , mNode(aRuntime, mStore, mMetrics, NodeOptions(mOptions, mServer.Listening()))
     , mLeader(mStore, mEngine, mOptions, mServer.Listening(),
               [this](std::vector<job_spec> aSpecs) { ResubmitAll(std::move(aSpecs)); })
   {
     mApi = std::make_unique<scheduler_api>(
       aRuntime, scheduler_api_context{ &mEngine, &mLeader, &mMetrics, mOptions.mName,
-                                       [this] { return mBook.Revision(); },
-                                       [this] { return !mStopping && mHasSettings; } });
+                                       [this] { return mNode.InForce(); },
+                                       [this] { return !mStopping && HasSettings(); } });
+    mNode.OnChange([this] { mEngine.OnSettings(mNode.View()); });
     mServer.OnRefusal([this](http_server_refusal aRefusal) {
       mMetrics.Count(kSchedulerHttpRefusals, ToString(aRefusal));
     });
@@ -54,36 +69,27 @@
     LogEvent(kProcessListening,
              { Field("listen", ToString(mServer.Listening())), Field("name", mOptions.mName) });
     mRuntime.Spawn([this] { mHosts.Run(); });
-    mRuntime.Spawn([this] { ReadSettings(); });
+    mNode.Start();
+    mRuntime.Spawn([this] { FollowFreshness(); });
     mRuntime.Spawn([this] { mEngine.RunTicks(); });
     mRuntime.Spawn([this] { mEngine.RunContacts(); });
     mRuntime.Spawn([this] { mLeader.Run(); });
   }
 
-  void ReadSettings()
+  bool HasSettings() const
   {
-    while (true) {
-      const instant begun = monotonic_clock::now();
-      const auto listing = mStore.List(kSettingsPrefix, begun + kFreshFor);
-      if (listing) {
-        mHasSettings = true;
-        const listing_outcome outcome = mBook.ApplyListing(listing.value());
-        if (outcome.mApplied > 0) {
-          mEngine.OnSettings(mBook.View());
-        }
-        if (outcome.Confirms()) {
-          mFreshUntil = begun + kFreshFor;
-        }
-      }
-      ShowFreshness(monotonic_clock::now() <= mFreshUntil);
-      SleepFor(kSettingsPoll);
-    }
+    return mNode.Check(monotonic_clock::now()).mReason != freshness_reason::kNoStoreRead;
   }
 
-  void ShowFreshness(bool aFresh)
+  void FollowFreshness()
   {
-    if (std::exchange(mFresh, aFresh) != aFresh) {
-      mEngine.OnFreshness(aFresh, aFresh ? "" : "the store did not confirm the settings in time");
+    while (true) {
+      const freshness_check check = mNode.Check(monotonic_clock::now());
+      if (std::exchange(mLastReason, check.mReason) != check.mReason) {
+        const std::string_view why = check.IsFresh() ? "" : ToString(check.mReason);
+        mEngine.OnFreshness(check.IsFresh(), std::string(why));
+      }
+      SleepFor(kFreshnessPoll);
     }
   }
 
@@ -106,6 +112,7 @@
     SleepFor(mOptions.mBalancerLag);
     const bool drained = mServer.Drain(monotonic_clock::now() + mOptions.mDrainTime);
     LogEvent(kProcessStopped, { Field("drained", drained) });
+    mNode.Leave(monotonic_clock::now() + kLeaveTime);
     return drained ? 0 : 1;
   }
 
@@ -113,15 +120,13 @@
   scheduler_options mOptions;
   metrics mMetrics;
   etcd_store mStore;
-  settings_book mBook;
-  instant mFreshUntil{};
-  bool mFresh = false;
-  bool mHasSettings = false;
+  freshness_reason mLastReason = freshness_reason::kNoStoreRead;
   bool mStopping = false;
   scheduler_engine mEngine;
   host_poller mHosts;
   std::unique_ptr<scheduler_api> mApi;
   http_server mServer;
+  settings_node mNode;
   queue_leader mLeader;
 };
 
--- a/src/scheduler/scheduler_api.cpp
+++ b/src/scheduler/scheduler_api.cpp
@@ -149,9 +149,7 @@
 
 http_response scheduler_api::InForce(const http_request& /*aRequest*/, const std::string& /*aJob*/)
 {
-  const json::object body{ { "member", mContext.mMember },
-                           { "revision", mContext.mRevisionInForce() } };
-  return JsonResponse(200, json::serialize(body));
+  return mContext.mInForce();
 }
 
 http_response scheduler_api::Status(const http_request& /*aRequest*/, const std::string& /*aJob*/)
--- a/src/scheduler/scheduler_api.h
+++ b/src/scheduler/scheduler_api.h
@@ -22,7 +22,7 @@
   queue_leader* mLeader = nullptr;
   metrics* mMetrics = nullptr;
   std::string mMember;
-  std::function<store_revision()> mRevisionInForce;
+  std::function<http_response()> mInForce;
   std::function<bool()> mIsReady;
 };
 
