--- a/src/ctl/settings_commands.cpp
+++ b/src/ctl/settings_commands.cpp
@@ -29,15 +29,25 @@
   return (std::uint64_t{ device() } << 32U) | device();
 }
 
+// Tries again until the deadline, since the store may be away for a moment.
 io_result<settings_book> ReadBook(ctl_context& aContext)
 {
-  settings_book book;
-  auto listing = aContext.mStore.List(kSettingsPrefix, monotonic_clock::now() + kReadTime);
-  if (!listing) {
-    return boost::outcome_v2::failure(std::move(listing).error());
+  const instant deadline = aContext.Deadline();
+  backoff pause(kFirstWait, kLongestWait, RandomNumber());
+  for (;;) {
+    const instant now = monotonic_clock::now();
+    auto listing = aContext.mStore.List(kSettingsPrefix, std::min(deadline, now + kReadTime));
+    if (listing) {
+      settings_book book;
+      book.ApplyListing(listing.value());
+      return book;
+    }
+    const duration wait = pause.Next();
+    if (monotonic_clock::now() + wait >= deadline) {
+      return boost::outcome_v2::failure(std::move(listing).error());
+    }
+    SleepFor(wait);
   }
-  book.ApplyListing(listing.value());
-  return book;
 }
 
 json::object ToJson(const change_record& aChange)
