--- a/src/standins/store/store_service.cpp
+++ b/src/standins/store/store_service.cpp
@@ -80,7 +80,8 @@
   mChanged.notify_all();
 }
 
-void store_service::AddCall(std::string aPath, http_response (store_service::*aCall)(const object&))
+void store_service::AddCall(const std::string& aPath,
+                            http_response (store_service::*aCall)(const object&))
 {
   const std::string name = aPath.substr(aPath.rfind('/') + 1);
   mRoutes.AddJson("POST", aPath, [this, name, aCall](const object& aBody, const path_captures&) {
@@ -203,7 +204,7 @@
   return Written({ { "header", Header(mStore.Revision()) } });
 }
 
-http_response store_service::Written(object aBody)
+http_response store_service::Written(const object& aBody)
 {
   mChanged.notify_all();
   if (mFaults.mLoseAnswers > 0) {
--- a/src/standins/store/store_service.h
+++ b/src/standins/store/store_service.h
@@ -44,7 +44,7 @@
   void AddLeaseRoutes();
   void AddTestRoutes();
   // Adds a call of the store: counted, and under the faults.
-  void AddCall(std::string aPath, http_response (store_service::*aCall)(const object&));
+  void AddCall(const std::string& aPath, http_response (store_service::*aCall)(const object&));
 
   http_response Range(const object& aBody);
   http_response Put(const object& aBody);
@@ -55,7 +55,7 @@
   http_response Watch(const object& aBody);
 
   // Answers a write that took effect, unless its answer is to be lost.
-  http_response Written(object aBody);
+  http_response Written(const object& aBody);
   void WriteChanges(http_chunk_writer& aWriter, const key_range& aKeys, store_revision aFrom);
   http_response SetFaults(const object& aBody);
   http_response Restore();
