--- a/src/include/briarwind/instance_choice.h
+++ b/src/include/briarwind/instance_choice.h
@@ -60,8 +60,8 @@
   double mLatency = 0; ///< seconds; 0 when there is no sample
   double mAttempts = 0;
   double mFailures = 0;
-  instant mLastSample{};
-  instant mEjectedUntil{};
+  instant mLastSample;
+  instant mEjectedUntil;
   int mEjections = 0;
 };
 
--- a/src/include/briarwind/share_ledger.h
+++ b/src/include/briarwind/share_ledger.h
@@ -78,7 +78,7 @@
   std::vector<member_view> mViews; ///< the base, when there is one, and all later views
   std::map<std::string, share_report, std::less<>> mReports;
   std::map<std::string, instant, std::less<>> mRemoved; ///< when first seen off the list
-  instant mFirstView{};
+  instant mFirstView;
 };
 
 } // namespace briarwind
--- /dev/null
+++ b/src/librouting/request_queue_test.cpp
@@ -0,0 +1,114 @@
+#include "briarwind/request_queue.h"
+
+#include "briarwind/testing.h"
+
+#include <map>
+
+using namespace briarwind;
+
+namespace {
+
+constexpr instant kNow{ seconds(100) };
+
+queued_request Request(request_number aNumber, const char* aOrganisation,
+                       milliseconds aDue = seconds(1))
+{
+  return { aNumber, aOrganisation, kNow + aDue };
+}
+
+} // namespace
+
+BW_STORY("a queue of requests")
+{
+  request_queue queue(100);
+
+  BW_SECTION("hands out those of one organisation by deadline")
+  {
+    queue.Push(Request(1, "a", seconds(3)), 1);
+    queue.Push(Request(2, "a", seconds(1)), 1);
+    BW_EQUAL(request_number{ 2 }, queue.Pop()->mNumber);
+    BW_EQUAL(request_number{ 1 }, queue.Pop()->mNumber);
+    BW_CHECK(!queue.Pop());
+  }
+  BW_SECTION("takes turns between organisations by weight")
+  {
+    for (request_number number = 0; number < 40; ++number) {
+      queue.Push(Request(number, number % 2 == 0 ? "light" : "heavy"), number % 2 == 0 ? 1 : 3);
+    }
+    std::map<std::string, int> served;
+    for (int turn = 0; turn < 20; ++turn) {
+      ++served[queue.Pop()->mOrganisation];
+    }
+    BW_EQUAL(15, served["heavy"]);
+    BW_EQUAL(5, served["light"]);
+  }
+  BW_SECTION("gives no credit for a time of idleness")
+  {
+    for (request_number number = 0; number < 20; ++number) {
+      queue.Push(Request(number, "busy"), 1);
+    }
+    for (int turn = 0; turn < 10; ++turn) {
+      queue.Pop();
+    }
+    for (request_number number = 20; number < 30; ++number) {
+      queue.Push(Request(number, "late"), 1);
+    }
+    int late = 0;
+    for (int turn = 0; turn < 10; ++turn) {
+      late += queue.Pop()->mOrganisation == "late" ? 1 : 0;
+    }
+    BW_CHECK(late >= 4 && late <= 6);
+  }
+  BW_SECTION("keeps the turn of a request that is put back")
+  {
+    queue.Push(Request(1, "a"), 1);
+    queue.Push(Request(2, "b"), 1);
+    const queued_request first = *queue.Pop();
+    queue.Return(first, 1);
+    BW_EQUAL(first.mNumber, queue.Pop()->mNumber);
+  }
+  BW_SECTION("knows the requests of one organisation that are due earlier")
+  {
+    queue.Push(Request(1, "a", seconds(1)), 1);
+    queue.Push(Request(2, "a", seconds(3)), 1);
+    queue.Push(Request(3, "b", seconds(1)), 3);
+    BW_EQUAL(std::size_t{ 1 }, queue.Ahead("a", kNow + seconds(2)));
+    BW_EQUAL(0.25, queue.Share("a", 1));
+  }
+  BW_SECTION("forgets a request that is taken out")
+  {
+    queue.Push(Request(1, "a"), 1);
+    BW_CHECK(queue.Remove(1));
+    BW_CHECK(!queue.Remove(1));
+    BW_CHECK(queue.empty());
+  }
+  BW_SECTION("hands out what is too late")
+  {
+    queue.Push(Request(1, "a", seconds(1)), 1);
+    queue.Push(Request(2, "b", seconds(5)), 1);
+    BW_EQUAL(request_number{ 1 }, queue.PopExpired(kNow + seconds(2))->mNumber);
+    BW_CHECK(!queue.PopExpired(kNow + seconds(2)));
+    BW_CHECK(kNow + seconds(5) == *queue.EarliestDeadline());
+  }
+}
+
+BW_STORY("a full queue")
+{
+  request_queue queue(10);
+  for (request_number number = 0; number < 9; ++number) {
+    queue.Push(Request(number, "flood", milliseconds(1000 + static_cast<int>(number))), 1);
+  }
+  BW_CHECK(!queue.Push(Request(50, "quiet"), 1));
+
+  BW_SECTION("drops the last of the organisation that has most")
+  {
+    const auto dropped = queue.Push(Request(51, "quiet"), 1);
+    BW_EQUAL(request_number{ 8 }, dropped->mNumber);
+    BW_EQUAL(std::size_t{ 10 }, queue.size());
+  }
+  BW_SECTION("refuses one more of that organisation when it is due last")
+  {
+    const auto dropped = queue.Push(Request(52, "flood", seconds(9)), 1);
+    BW_EQUAL(request_number{ 52 }, dropped->mNumber);
+  }
+}
