--- a/src/libnet/http_pool.cpp
+++ b/src/libnet/http_pool.cpp
@@ -69,6 +69,12 @@
 
 io_result<http_response> http_pool::Call(const endpoint& aPeer, const http_request& aRequest,
                                          instant aDeadline)
+{
+  return CallIf(aPeer, aRequest, aDeadline, [] { return true; });
+}
+
+io_result<http_response> http_pool::CallIf(const endpoint& aPeer, const http_request& aRequest,
+                                           instant aDeadline, const send_check& aMaySend)
 {
   connection_pointer connection = mState->TakeIdle(aPeer);
   if (!connection) {
@@ -78,6 +84,10 @@
     }
     connection = std::move(connected).value();
   }
+  if (!aMaySend()) {
+    mState->PutBack(aPeer, std::move(connection));
+    return IoError(error_kind::kUnavailable, ToString(aPeer), "held back before it was sent");
+  }
   http_exchange exchange = connection->Exchange(aRequest, aDeadline, kMaxBodyBytes);
   if (exchange.mReusable) {
     mState->PutBack(aPeer, std::move(connection));
