--- a/src/libjobs/cell_table.cpp
+++ b/src/libjobs/cell_table.cpp
@@ -182,7 +182,24 @@
   return domain < mAlternates.size() ? &mAlternates[domain][aCell] : nullptr;
 }
 
-std::vector<cell_place> cell_table::BindNow(const cluster_table& aCluster, bool aPinned) const
+/// The one domain that all workers that are out stand in; none when nothing is out or more are.
+std::optional<std::uint32_t> cell_table::TroubledDomain(const cluster_table& aCluster) const
+{
+  std::optional<std::uint32_t> troubled;
+  for (std::uint32_t site = 0; site < mSites.size(); ++site) {
+    if (aCluster.IsSound(aCluster.At(mWorkerOf[site]))) {
+      continue;
+    }
+    if (troubled && *troubled != mSites[site].mDomain) {
+      return std::nullopt;
+    }
+    troubled = mSites[site].mDomain;
+  }
+  return troubled;
+}
+
+std::vector<cell_place> cell_table::BindNow(const cluster_table& aCluster, binding_way aWay,
+                                            bool aPinned) const
 {
   std::vector<resource_shape> room;
   for (const worker_index worker : mWorkerOf) {
@@ -212,37 +229,60 @@
       take(aCell, ToPlace(mCells[aCell].mPlace));
     }
   });
-  forAll([&](std::size_t aCell) { takeIfFits(aCell, mHomes[aCell]); });
-  forAll([&](std::size_t aCell) {
-    const cell_place* alternate = AlternateFor(aCell, aCluster);
-    if (alternate != nullptr) {
-      takeIfFits(aCell, *alternate);
+  if (aWay == binding_way::kPlanned) {
+    const std::optional<std::uint32_t> troubled = TroubledDomain(aCluster);
+    if (troubled && *troubled < mAlternates.size()) {
+      forAll([&](std::size_t aCell) { takeIfFits(aCell, mAlternates[*troubled][aCell]); });
     }
-  });
-  forAll([&](std::size_t aCell) { takeIfFits(aCell, ToPlace(mCells[aCell].mPlace)); });
+  }
+  if (aWay != binding_way::kTight) {
+    forAll([&](std::size_t aCell) { takeIfFits(aCell, mHomes[aCell]); });
+    forAll([&](std::size_t aCell) {
+      const cell_place* alternate = AlternateFor(aCell, aCluster);
+      if (alternate != nullptr) {
+        takeIfFits(aCell, *alternate);
+      }
+    });
+    forAll([&](std::size_t aCell) { takeIfFits(aCell, ToPlace(mCells[aCell].mPlace)); });
+  }
   forAll([&](std::size_t aCell) {
     if (places[aCell].empty()) {
-      take(aCell, binder.Search(mCells[aCell].mDemand));
+      const cell_demand& demand = mCells[aCell].mDemand;
+      take(aCell, aWay == binding_way::kTight ? binder.SearchTight(demand)
+                                              : binder.Search(demand));
     }
   });
   return places;
 }
 
+/// Tries the ways from the one that moves least, until every shape has a place.
+std::vector<cell_place> cell_table::BindBest(const cluster_table& aCluster) const
+{
+  std::vector<cell_place> best;
+  std::ptrdiff_t fewest = 0;
+  for (const bool pinned : { true, false }) {
+    for (const binding_way way :
+         { binding_way::kLeastMoves, binding_way::kPlanned, binding_way::kTight }) {
+      std::vector<cell_place> places = BindNow(aCluster, way, pinned);
+      const std::ptrdiff_t unmet = std::ranges::count_if(places, &cell_place::empty);
+      if (best.empty() || unmet < fewest) {
+        best = std::move(places);
+        fewest = unmet;
+      }
+      if (fewest == 0) {
+        return best;
+      }
+    }
+  }
+  return best;
+}
+
 std::vector<job_entry*> cell_table::Rebind(cluster_table& aCluster)
 {
   if (!IsPlanFor(aCluster)) {
     Plan(aCluster);
   }
-  const auto unmet = [](const std::vector<cell_place>& aPlaces) {
-    return std::ranges::count_if(aPlaces, &cell_place::empty);
-  };
-  std::vector<cell_place> places = BindNow(aCluster, true);
-  if (unmet(places) > 0) {
-    std::vector<cell_place> moved = BindNow(aCluster, false);
-    if (unmet(moved) < unmet(places)) {
-      places = std::move(moved);
-    }
-  }
+  const std::vector<cell_place> places = BindBest(aCluster);
   std::vector<job_entry*> displaced;
   mMoved = 0;
   for (std::size_t i = 0; i < mCells.size(); ++i) {
--- a/src/libjobs/cell_table.h
+++ b/src/libjobs/cell_table.h
@@ -4,6 +4,7 @@
 #include "libjobs/cluster_table.h"
 #include "libjobs/placement.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,13 @@
   job_entry* mClaim = nullptr; ///< the job that runs in it
 };
 
+enum class binding_way : std::uint8_t
+{
+  kLeastMoves, ///< cells whose home is whole stay there
+  kPlanned,    ///< all as planned for the domain that is in trouble
+  kTight,      ///< anew, packed as tightly as possible
+};
+
 /// Where the guaranteed shapes stand, which moves as little as possible.
 class cell_table
 {
@@ -42,7 +50,10 @@
 private:
   void Plan(const cluster_table& aCluster);
   bool IsPlanFor(const cluster_table& aCluster) const;
-  std::vector<cell_place> BindNow(const cluster_table& aCluster, bool aPinned) const;
+  std::optional<std::uint32_t> TroubledDomain(const cluster_table& aCluster) const;
+  std::vector<cell_place> BindNow(const cluster_table& aCluster, binding_way aWay,
+                                  bool aPinned) const;
+  std::vector<cell_place> BindBest(const cluster_table& aCluster) const;
   cell_place ToPlace(const placement& aPlacement) const;
   placement ToPlacement(const cell_place& aPlace) const;
   const cell_place* AlternateFor(std::size_t aCell, const cluster_table& aCluster) const;
