Jobs: large gangs evict what saves its progress; shares in steps; takeover waits for what it could not ask

Change: gangs of 48 or more accelerators evict jobs at most half their size, which checkpoint, after 6 h; draining only after 12 h; organisations within a tenth of the cluster count as equal; work without accelerators leaves free ones their cores. Found by the properties and mended: a worker that could not be asked at takeover was used while leases of the predecessor could still hold there, and a job with an unrecorded attempt was tried again before that attempt must have lapsed.

--- a/src/bench/policy_benchmark.cpp
+++ b/src/bench/policy_benchmark.cpp
@@ -149,6 +149,7 @@
   workload_knobs mKnobs;
   int mSeeds = 10;
   std::vector<policy_strategy> mStrategies;
+  job_options mOptions; ///< which each strategy changes
 };
 
 json::object Measure(const policy_request& aRequest)
@@ -164,7 +165,7 @@
     for (int seed = 1; seed <= aRequest.mSeeds; ++seed) {
       const workload load =
         DrawWorkload(aRequest.mSize, aRequest.mKnobs, static_cast<std::uint64_t>(seed));
-      job_options options = QuietOptions();
+      job_options options = aRequest.mOptions;
       strategy.mApply(options);
       runs.push_back(RunPolicy(load, options, aRequest.mKnobs));
     }
@@ -210,6 +211,16 @@
                                           "name", line);
   TCLAP::ValueArg<std::string> out("", "out", "writes the figures as JSON there", false, "", "file",
                                    line);
+  const job_options shipped;
+  TCLAP::ValueArg<int> patience("", "gang-patience", "minutes before a gang may evict", false,
+                                static_cast<int>(shipped.mGangPatience.count()), "minutes", line);
+  TCLAP::ValueArg<int> drainPatience("", "drain-patience", "minutes before workers are drained",
+                                     false, static_cast<int>(shipped.mDrainPatience.count()),
+                                     "minutes", line);
+  TCLAP::ValueArg<int> gangSize("", "gang-size", "accelerators of a large gang", false,
+                                shipped.mGangSize, "count", line);
+  TCLAP::ValueArg<double> weight("", "estimate-weight", "of run times in the order", false,
+                                 shipped.mEstimateWeight, "factor", line);
   line.parse(aArguments);
   const std::optional<cluster_size> found = FindSize(size.getValue());
   const std::vector<policy_strategy> chosen = Chosen(strategies.getValue());
@@ -223,6 +234,11 @@
   request.mKnobs.mLoad = load.getValue();
   request.mSeeds = seeds.getValue();
   request.mStrategies = chosen;
+  request.mOptions = QuietOptions();
+  request.mOptions.mGangPatience = minutes(patience.getValue());
+  request.mOptions.mDrainPatience = minutes(drainPatience.getValue());
+  request.mOptions.mGangSize = gangSize.getValue();
+  request.mOptions.mEstimateWeight = weight.getValue();
   const json::object report = Measure(request);
   if (!out.getValue().empty()) {
     std::ofstream(out.getValue()) << json::serialize(report) << '\n';
--- a/src/bench/policy_run.cpp
+++ b/src/bench/policy_run.cpp
@@ -15,6 +15,8 @@
 
 using std::chrono::hours;
 
+constexpr seconds kSaveTime{ 5 };  // of a checkpoint
+constexpr seconds kLoadTime{ 60 }; // until a resumed task is where it was
 constexpr minutes kSampleEvery{ 5 };
 constexpr hours kLongestDrain{ 48 };
 constexpr hours kAfterReturn{ 1 }; // counts as part of the withdrawal
@@ -93,6 +95,8 @@
   void Prepare()
   {
     mSettings = mLoad.mSettings;
+    mPlatform.Faults().mSaveTime = kSaveTime;
+    mPlatform.Faults().mLoadTime = kLoadTime;
     mPlatform.SetRuns([this](const std::string& aJob) { return mJobs[aJob].mPlan->mTruth; });
     mPlatform.SetObserver([this](const action& aAction) {
       std::visit([this](const auto& aTyped) { See(aTyped); }, aAction);
--- a/src/bench/policy_strategy.cpp
+++ b/src/bench/policy_strategy.cpp
@@ -11,6 +11,7 @@
   aOptions.mPacking = packing::kFirstFit;
   aOptions.mLearnRunTimes = false;
   aOptions.mDrainForGangs = false;
+  aOptions.mGangsEvict = false;
 }
 
 constexpr policy_strategy kStrategies[] = {
@@ -24,6 +25,13 @@
     [](job_options& aOptions) { aOptions.mOrder = queue_order::kLeastAttained; } },
   { "cells-declared", "as shipped, but declared run times are believed",
     [](job_options& aOptions) { aOptions.mLearnRunTimes = false; } },
+  { "cells-no-evict", "as shipped, but gangs only drain, they do not evict",
+    [](job_options& aOptions) { aOptions.mGangsEvict = false; } },
+  { "cells-neither", "as shipped, but gangs neither drain nor evict",
+    [](job_options& aOptions) {
+      aOptions.mGangsEvict = false;
+      aOptions.mDrainForGangs = false;
+    } },
   { "cells-no-drain", "as shipped, without draining reservations",
     [](job_options& aOptions) { aOptions.mDrainForGangs = false; } },
   { "cells-first-fit", "as shipped, but the first workers that fit",
--- a/src/include/briarwind/job_options.h
+++ b/src/include/briarwind/job_options.h
@@ -48,15 +48,20 @@
   packing mPacking = packing::kBestFit;
   bool mLearnRunTimes = true;
   bool mDrainForGangs = true;
-  minutes mGangPatience{ 10 };   ///< a job that waited this long may reserve draining workers
-  int mDrainingJobs = 2;         ///< how many may at once
+  /// A large gang that waited this long may evict what saves its progress.
+  minutes mGangPatience{ 360 };
+  int mGangSize = 48;            ///< accelerators from which on a gang counts as large
+  minutes mDrainPatience{ 720 }; ///< a job that waited this long may reserve draining workers
+  bool mGangsEvict = true;
+  minutes mLeastRun{ 10 };       ///< for which a job runs before a gang may evict it
+  int mDrainingJobs = 1;         ///< how many may at once
   int mDrainingPercent = 50;     ///< of the live accelerators that they may hold together
   int mReservingMembers = 1024;  ///< members being reserved or started at once, over all jobs
   minutes mWithdrawalGrace{ 5 }; ///< for work without checkpoints that ends within it
   int mAttemptsPerEvent = 16;    ///< placements tried before the next event is taken
 
   int mMostJobs = 20000;      ///< jobs that are not over; more are refused
-  double mEstimateWeight = 1; ///< kShortestEstimate: a job overtakes one that arrived earlier by
+  double mEstimateWeight = 8; ///< kShortestEstimate: a job overtakes one that arrived earlier by
                               ///< less than this much of the difference of their run times
 
   int mJobFailures = 3;          ///< failures on different workers that make a job failed
--- a/src/libjobs/core_attempt.cpp
+++ b/src/libjobs/core_attempt.cpp
@@ -461,14 +461,17 @@
   if (recorded) {
     WriteRecord(aJob);
   }
-  if (!aDelayed) {
+  if (aDelayed) {
+    const int doublings = std::min(aJob.mAborts, kMostDoublings);
+    ++aJob.mAborts;
+    const duration delay =
+      std::min<duration>(mOptions.mRetryDelay * (1 << doublings), mOptions.mRetryDelayCap);
+    aJob.mNotBefore = std::max(aJob.mNotBefore, mNow + delay);
+  }
+  if (aJob.mNotBefore <= mNow) {
     Enqueue(aJob);
     return;
   }
-  const int doublings = std::min(aJob.mAborts, kMostDoublings);
-  ++aJob.mAborts;
-  aJob.mNotBefore =
-    mNow + std::min<duration>(mOptions.mRetryDelay * (1 << doublings), mOptions.mRetryDelayCap);
   aJob.mDelayed = true;
   Wait(aJob, wait_reason::kRetryDelay, aJob.mStopReason);
   At(aJob.mNotBefore, { timer_kind::kRetry, aJob.Spec().mId, 0, 0 });
--- a/src/libjobs/core_drain.cpp
+++ b/src/libjobs/core_drain.cpp
@@ -7,16 +7,16 @@
 
 namespace briarwind {
 
-/// Remembers which of the jobs that found no room in this pass needs a draining reservation most.
+/// Remembers which of the jobs that found no room in this pass needs help most: a large gang that
+/// may evict, or a job that has waited so long that workers are drained for it.
 void job_core::state::ConsiderDrain(job_entry& aJob)
 {
   const bool noRoom =
     aJob.mWait == wait_reason::kNoCapacity || aJob.mWait == wait_reason::kNoAdjacency;
-  const duration waited = mNow - aJob.mArrived;
-  if (!mOptions.mDrainForGangs || !noRoom || waited < mOptions.mGangPatience ||
-      !aJob.Spec().mRepeatable) {
+  if (!noRoom || !aJob.Spec().mRepeatable || !(MayDrain(aJob) || MayEvictAsGang(aJob))) {
     return;
   }
+  const duration waited = mNow - aJob.mArrived;
   const double size = std::max(1, aJob.Accelerators()) +
                       static_cast<double>(aJob.Spec().mMembers * aJob.Spec().mShape.mCores) / 64;
   const double score = size * std::chrono::duration<double>(waited).count();
@@ -26,11 +26,26 @@
   }
 }
 
+bool job_core::state::MayDrain(const job_entry& aJob) const
+{
+  return mOptions.mDrainForGangs && mNow - aJob.mArrived >= mOptions.mDrainPatience &&
+         static_cast<int>(mDrains.size()) < mOptions.mDrainingJobs;
+}
+
+bool job_core::state::MayEvictAsGang(const job_entry& aJob) const
+{
+  return mOptions.mGangsEvict && mNow - aJob.mArrived >= mOptions.mGangPatience &&
+         aJob.Accelerators() >= mOptions.mGangSize;
+}
+
 void job_core::state::BeginDrain()
 {
   job_entry* const job = mDrainCandidate;
   mDrainCandidate = nullptr;
-  if (job == nullptr || static_cast<int>(mDrains.size()) >= mOptions.mDrainingJobs) {
+  if (job == nullptr || (MayEvictAsGang(*job) && TryGangEviction(*job))) {
+    return;
+  }
+  if (!MayDrain(*job)) {
     return;
   }
   int held = job->Accelerators();
@@ -99,6 +114,22 @@
   mRoomChanged = true;
 }
 
+/// Number of the group of workers that counts as adjacent.
+std::uint32_t job_core::state::GroupOf(adjacency aAdjacency, worker_index aWorker) const
+{
+  switch (aAdjacency) {
+    case adjacency::kWorker:
+      return aWorker;
+    case adjacency::kRack:
+      return mCluster.At(aWorker).mRack;
+    case adjacency::kDomain:
+      return mCluster.At(aWorker).mDomain;
+    case adjacency::kNone:
+      return 0;
+  }
+  return 0;
+}
+
 namespace {
 
 /// Room for so many more members at one instant.
@@ -117,19 +148,6 @@
 {
   const resource_shape& shape = aJob.Spec().mShape;
   std::map<std::uint32_t, std::vector<freeing>> groups;
-  const auto groupOf = [&](worker_index aWorker) -> std::uint32_t {
-    switch (aJob.Spec().mAdjacency) {
-      case adjacency::kWorker:
-        return aWorker;
-      case adjacency::kRack:
-        return mCluster.At(aWorker).mRack;
-      case adjacency::kDomain:
-        return mCluster.At(aWorker).mDomain;
-      case adjacency::kNone:
-        return 0;
-    }
-    return 0;
-  };
   for (worker_index i = 0; i < mCluster.Workers().size(); ++i) {
     const worker_slot& worker = mCluster.At(i);
     resource_shape room = worker.mInfo.mCapacity - worker.mHeld -
@@ -148,7 +166,7 @@
       }
     }
     std::ranges::sort(ends, {}, &std::pair<instant, resource_shape>::first);
-    std::vector<freeing>& group = groups[groupOf(i)];
+    std::vector<freeing>& group = groups[GroupOf(aJob.Spec().mAdjacency, i)];
     int slots = SlotsIn(room, shape);
     if (slots > 0) {
       group.push_back({ mNow, i, slots });
--- a/src/libjobs/core_events.cpp
+++ b/src/libjobs/core_events.cpp
@@ -127,8 +127,8 @@
   std::erase_if(mTimers,
                 [](const auto& aTimer) { return aTimer.second.mKind != timer_kind::kProbe; });
   mDrains.clear();
-  for (const orphan_lease& each : mOrphans) {
-    mCluster.At(each.mWorker).mOrphans = 0;
+  for (worker_index i = 0; i < mCluster.Workers().size(); ++i) {
+    mCluster.At(i).mOrphans = 0;
   }
   mOrphans.clear();
   mMayReserve.clear();
--- a/src/libjobs/core_eviction.cpp
+++ b/src/libjobs/core_eviction.cpp
@@ -3,20 +3,110 @@
 #include "libjobs/resources.h"
 
 #include <algorithm>
+#include <functional>
+#include <map>
 #include <set>
 #include <tuple>
 
 namespace briarwind {
 
+namespace {
+
+// A gang evicts only what is at most this part of its own size.
+constexpr int kYieldFactor = 2;
+
+} // namespace
+
 bool job_core::state::MayEvict(const job_entry& aVictim, const job_entry& aFor) const
 {
   if (&aVictim == &aFor || aVictim.mPhase == job_phase::kStopping) {
     return false;
   }
+  if (aFor.mTenure == tenure::kBorrowed) {
+    return YieldsTo(aVictim, aFor);
+  }
   return aVictim.mTenure == tenure::kBorrowed ||
          (aVictim.mTenure == tenure::kUrgent && aFor.mTenure == tenure::kClaim);
 }
 
+/// Whether a job may be evicted for a gang that has waited long enough: one that is much smaller,
+/// loses little, and has run for a while, so that the two never take turns.
+bool job_core::state::YieldsTo(const job_entry& aVictim, const job_entry& aGang) const
+{
+  const auto sizeOf = [](const job_entry& aJob) {
+    return std::max(aJob.Accelerators(), aJob.Spec().mMembers * aJob.Spec().mShape.mCores / 16);
+  };
+  return aVictim.mTenure == tenure::kBorrowed && aVictim.mPhase == job_phase::kRunning &&
+         aVictim.Spec().mCheckpoints && sizeOf(aVictim) * kYieldFactor <= sizeOf(aGang) &&
+         mNow - aVictim.mRunningSince >= mOptions.mLeastRun;
+}
+
+/// Workers for a gang when others may be evicted: the group that has most room already.
+placement job_core::state::PlanEviction(const job_entry& aGang) const
+{
+  struct group
+  {
+    int mFree = 0;
+    int mAll = 0;
+    std::vector<std::tuple<int, int, worker_index>> mWorkers; // free and all slots
+  };
+  const resource_shape& shape = aGang.Spec().mShape;
+  std::map<std::uint32_t, group> groups;
+  for (worker_index i = 0; i < mCluster.Workers().size(); ++i) {
+    const worker_slot& worker = mCluster.At(i);
+    const bool avoided = std::ranges::find(aGang.mAvoid, i) != aGang.mAvoid.end();
+    if (!mCluster.IsSound(worker) || worker.mOrphans > 0 || avoided ||
+        !FitsInto(shape, worker.mInfo.mCapacity)) {
+      continue;
+    }
+    resource_shape room = mCluster.Room(worker, room_kind::kFree);
+    const int free = SlotsIn(room, shape);
+    for (const occupant& each : worker.mOccupants) {
+      room = YieldsTo(*each.mJob, aGang) ? room + each.mJob->Spec().mShape : room;
+    }
+    const int all = SlotsIn(room, shape);
+    if (all > 0) {
+      group& mine = groups[GroupOf(aGang.Spec().mAdjacency, i)];
+      mine.mFree += free;
+      mine.mAll += all;
+      mine.mWorkers.emplace_back(free, all, i);
+    }
+  }
+  group* best = nullptr;
+  for (auto& [name, each] : groups) {
+    const bool holds = each.mAll >= aGang.Spec().mMembers;
+    best = holds && (best == nullptr || each.mFree > best->mFree) ? &each : best;
+  }
+  if (best == nullptr) {
+    return {};
+  }
+  std::ranges::sort(best->mWorkers, std::greater());
+  placement parts;
+  int missing = aGang.Spec().mMembers;
+  for (const auto& [free, all, worker] : best->mWorkers) {
+    const int taken = std::min(missing, all);
+    if (taken > 0) {
+      parts.push_back({ worker, taken });
+      missing -= taken;
+    }
+  }
+  return parts;
+}
+
+bool job_core::state::TryGangEviction(job_entry& aGang)
+{
+  if (IsOverQuota(aGang)) {
+    return false;
+  }
+  const placement parts = PlanEviction(aGang);
+  if (parts.empty()) {
+    return false;
+  }
+  BeginAttempt(aGang, parts, tenure::kBorrowed, -1);
+  MakeRoom(aGang, mOptions.mCheckpointBound);
+  return true;
+}
+
 /// What a stop costs, in accelerator-milliseconds or, without accelerators, core-milliseconds.
 std::int64_t job_core::state::LossOf(const job_entry& aJob) const
 {
--- a/src/libjobs/core_queue.cpp
+++ b/src/libjobs/core_queue.cpp
@@ -9,11 +9,15 @@
 
 namespace {
 
+// Organisations whose shares are within one step of each other count as equal, so that between
+// them the order of the jobs decides.
+constexpr double kShareSteps = 10;
+
 // Urgency and claims go before any share; within those, who has least of its weight comes first.
 struct class_rank
 {
   int mTier = 0;
-  double mShare = 0;
+  int mShareStep = 0;
   queue_key mHead;
 
   auto operator<=>(const class_rank&) const = default;
@@ -55,7 +59,8 @@
   const auto rank = [&](const queue_class* aClass) {
     const job_entry& head = aClass->Head();
     const int tier = aClass->mId.mGuaranteed ? 0 : aClass->mId.mUrgent ? 1 : 2;
-    return class_rank{ tier, ShareOf(*head.mOrganisation), head.mKey };
+    const int step = static_cast<int>(ShareOf(*head.mOrganisation) * kShareSteps);
+    return class_rank{ tier, step, head.mKey };
   };
   const auto& untried = mQueue.Untried();
   const auto best = std::ranges::min_element(untried, {}, rank);
--- a/src/libjobs/core_state.h
+++ b/src/libjobs/core_state.h
@@ -157,16 +157,22 @@
   // core_eviction.cpp
   void MakeRoom(job_entry& aJob, milliseconds aCheckpointBound);
   void EvictOn(worker_index aWorker, job_entry& aFor, milliseconds aCheckpointBound);
+  bool YieldsTo(const job_entry& aVictim, const job_entry& aGang) const;
+  placement PlanEviction(const job_entry& aGang) const;
+  bool TryGangEviction(job_entry& aGang);
   bool MayEvict(const job_entry& aVictim, const job_entry& aFor) const;
   std::int64_t LossOf(const job_entry& aJob) const;
   void StopOut(const std::vector<worker_index>& aWorkers, const std::string& aReason);
 
   // core_drain.cpp
   void ConsiderDrain(job_entry& aJob);
+  bool MayDrain(const job_entry& aJob) const;
+  bool MayEvictAsGang(const job_entry& aJob) const;
   void BeginDrain();
   void ServeDrains();
   void EndDrain(job_entry& aJob);
   bool IsReady(const drain& aDrain) const;
+  std::uint32_t GroupOf(adjacency aAdjacency, worker_index aWorker) const;
   std::optional<drain> PlanDrain(job_entry& aJob) const;
 
   // core_cells.cpp
--- a/src/libjobs/core_takeover.cpp
+++ b/src/libjobs/core_takeover.cpp
@@ -35,7 +35,13 @@
   for (worker_index i = 0; i < mCluster.Workers().size(); ++i) {
     const bool known = asked.contains(NameOf(i));
     mCluster.SetLost(i, !known);
-    mSomeNotAsked = mSomeNotAsked || (mCluster.At(i).mListed && !known);
+    if (mCluster.At(i).mListed && !known) {
+      // It may hold leases that nobody knows of any more, until they must have lapsed.
+      mSomeNotAsked = true;
+      ++mCluster.At(i).mOrphans;
+      At(mNow + mOptions.mLeaseTimeToLive + mOptions.mLapseMargin,
+         { timer_kind::kOrphan, NameOf(i), 0, 0 });
+    }
   }
   Rebind();
   for (const restored_record& each : aEvent.mRecords) {
@@ -117,18 +123,18 @@
     At(mNow + mOptions.mEndedKept, { timer_kind::kDropEnded, record.mSpec.mId, 0, 0 });
     return;
   }
+  if (mSomeNotAsked && record.mSpec.mRepeatable) {
+    // A worker that could not be asked may run an attempt that was not recorded.
+    job.mNotBefore = mNow + mOptions.mLeaseTimeToLive + mOptions.mLapseMargin;
+  }
   AdoptUnrecorded(job, aWorkers);
   if (job.mRecord.mState == job_state::kAttempted) {
     AdoptAttempt(job, aWorkers);
     return;
   }
-  if (mSomeNotAsked && record.mSpec.mRepeatable) {
-    // A worker that could not be asked may run an attempt that was not recorded.
-    job.mDelayed = true;
-    job.mWaitDetail = "a worker could not be asked at takeover";
-    Wait(job, wait_reason::kRetryDelay, job.mWaitDetail);
-    At(mNow + mOptions.mLeaseTimeToLive + mOptions.mLapseMargin,
-       { timer_kind::kRetry, record.mSpec.mId, 0, 0 });
+  if (job.mNotBefore > mNow) {
+    job.mStopReason = "a worker could not be asked at takeover";
+    Requeue(job, false);
     return;
   }
   Enqueue(job);
--- a/src/libjobs/placement.cpp
+++ b/src/libjobs/placement.cpp
@@ -68,7 +68,11 @@
       if (worker.mOrphans > 0 && !whole) {
         continue;
       }
-      int slots = SlotsIn(mCluster.Room(worker, mRequest.mRoom), mRequest.mShape);
+      resource_shape room = mCluster.Room(worker, mRequest.mRoom);
+      if (!whole && mRequest.mPacking == packing::kBestFit) {
+        room = room - KeptForAccelerators(worker);
+      }
+      int slots = SlotsIn(room, mRequest.mShape);
       if (worker.mHealth.mProbing && !listedOnly) {
         slots = mRequest.mMayProbe && worker.mOccupants.empty() ? std::min(slots, 1) : 0;
       }
@@ -79,6 +83,19 @@
     }
   }
 
+  /// Work without accelerators leaves each free one half of its share of cores and memory: without
+  /// them nobody could use it.
+  resource_shape KeptForAccelerators(const worker_slot& aWorker) const
+  {
+    const resource_shape& whole = aWorker.mInfo.mCapacity;
+    const int free = whole.mAccelerators - aWorker.mUsed.mAccelerators;
+    if (mRequest.mShape.mAccelerators > 0 || free <= 0) {
+      return {};
+    }
+    const int parts = 2 * whole.mAccelerators;
+    return { 0, whole.mCores * free / parts, whole.mMemoryMb * free / parts };
+  }
+
   int CostOf(const worker_slot& aWorker) const
   {
     if (mRequest.mPacking == packing::kFirstFit) {
--- a/src/libjobs/testing/fake_platform.h
+++ b/src/libjobs/testing/fake_platform.h
@@ -26,6 +26,8 @@
   double mLoseAnswer = 0; ///< an effect, no answer
   milliseconds mLeastDelay{ 1 };
   milliseconds mMostDelay{ 1 };
+  milliseconds mSaveTime{ 0 }; ///< a stop with a checkpoint takes so much longer
+  milliseconds mLoadTime{ 0 }; ///< a task that resumes runs so much longer
 };
 
 /// How a task really goes.
@@ -243,16 +245,17 @@
   }
 
   /// Sends an answer after a delay, to the core that asked.
-  void Later(event aAnswer)
+  void Later(event aAnswer, milliseconds aExtra = milliseconds(0))
   {
     std::uniform_int_distribution<std::int64_t> delay(mFaults.mLeastDelay.count(),
                                                       mFaults.mMostDelay.count());
     const std::uint64_t generation = mGeneration;
-    At(mNow + milliseconds(delay(mRandom)), [this, generation, answer = std::move(aAnswer)] {
-      if (generation == mGeneration) {
-        Send(answer);
-      }
-    });
+    At(mNow + aExtra + milliseconds(delay(mRandom)),
+       [this, generation, answer = std::move(aAnswer)] {
+         if (generation == mGeneration) {
+           Send(answer);
+         }
+       });
   }
 
   enum class call_fate : std::uint8_t
@@ -338,7 +341,9 @@
     aLease.mResumedFrom = aAction.mResumeFrom;
     aLease.mExpires = mNow + aAction.mTimeToLive;
     aLease.mEndFails = run.mFails || aWorker.mFailsAll;
-    const milliseconds left = std::max(run.mTime - aAction.mResumeFrom, milliseconds(1));
+    const bool resumes = aAction.mResumeFrom > milliseconds(0);
+    const milliseconds left = std::max(run.mTime - aAction.mResumeFrom, milliseconds(1)) +
+                              (resumes ? mFaults.mLoadTime : milliseconds(0));
     aLease.mEndsAt = mNow + (aWorker.mFailsAll ? std::min<milliseconds>(left, seconds(1)) : left);
     if (mTellEnds) {
       At(aLease.mEndsAt, [this, worker = &aWorker, id = aLease.mLease] { TellEnd(*worker, id); });
@@ -390,7 +395,10 @@
       // A stop is never refused for a lease that holds.
       answer.mOutcome = call_outcome::kUnknown;
     }
-    Later(std::move(answer));
+    const milliseconds extra =
+      answer.mCheckpointed ? std::min(mFaults.mSaveTime, aBound) : milliseconds(0);
+    answer.mCheckpointed = answer.mCheckpointed && mFaults.mSaveTime <= aBound;
+    Later(std::move(answer), extra);
   }
 
   void Perform(forget_lease& aAction) { mWorkers[aAction.mWorker].mLeases.erase(aAction.mLease); }
