--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,7 +1,81 @@
 #!/usr/bin/env bash
-# Checks every model in spec/ and that each seeded fault is found.
+# Checks every model in spec/: the clean model must be searched completely and
+# show no error; each seeded fault (FAULT_...) and each state that must stay
+# reachable (REACH_...) must be found. `check.sh NAME...` checks some models.
+# Memory and depth are bounded for each run; a run that meets a bound fails.
 set -euo pipefail
 cd "$(dirname "$0")"
-shopt -s nullglob
-models=(*.pml)
-echo "models: ${#models[@]}"
+
+readonly MEMORY_MB=1500
+readonly DEPTH=20000000
+readonly RUN_SECONDS=170
+readonly PARALLEL=${MODEL_JOBS:-4}
+
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+
+# Prints the last figure of pan's output that stands before the given words.
+figure() { grep -oE "[0-9.e+]+ $1" "$2" | tail -1 | cut -d' ' -f1; }
+
+# check_one MODEL DEFINE: DEFINE is CLEAN, FAULT_... or REACH_...
+check_one() {
+  local model=$1 define=$2
+  local folder="$work/$model.$define" verdict=ok
+  mkdir "$folder"
+  cp "$model.pml" "$folder/"
+  cd "$folder"
+  spin -a "-D$define" "$model.pml" >spin.txt 2>&1 || verdict="spin refused it"
+  if [ "$verdict" = ok ]; then
+    cc -O2 -w -DSAFETY -DCOLLAPSE "-DMEMLIM=$MEMORY_MB" -DVECTORSZ=4096 -o pan pan.c \
+      >cc.txt 2>&1 || verdict="compiler refused it"
+  fi
+  if [ "$verdict" = ok ]; then
+    # -E: a process that waits for ever is no fault, a lost message is one cause.
+    timeout "$RUN_SECONDS" ./pan -E "-m$DEPTH" -w22 >pan.txt 2>&1 || true
+    verdict=$(judge "$define")
+  fi
+  printf '%-10s %-32s %-22s %12s states %8s s\n' "$model" "$define" "$verdict" \
+    "$(figure 'states, stored' pan.txt 2>/dev/null || echo -)" \
+    "$(grep -oE 'elapsed time [0-9.e+]+' pan.txt 2>/dev/null | cut -d' ' -f3 || echo -)"
+  rm -f pan pan.c
+  case $verdict in ok | found) ;; *) return 1 ;; esac
+}
+
+judge() {
+  if grep -qE 'max search depth too small|reached -DMEMLIM|out of memory' pan.txt; then
+    echo "LIMIT REACHED"
+  elif ! grep -q 'errors:' pan.txt; then
+    echo "NOT FINISHED"
+  elif grep -q 'errors: 0' pan.txt; then
+    if [ "$1" = CLEAN ]; then echo ok; else echo "NOT FOUND"; fi
+  elif ! grep -q 'assertion violated' pan.txt; then
+    echo "OTHER ERROR"
+  elif [ "$1" = CLEAN ]; then
+    echo "VIOLATED"
+  else
+    echo found
+  fi
+}
+
+export -f check_one judge figure
+export work MEMORY_MB DEPTH RUN_SECONDS
+
+models=("$@")
+if [ ${#models[@]} -eq 0 ]; then
+  mapfile -t models < <(basename -s .pml -- *.pml)
+fi
+{
+  for model in "${models[@]}"; do
+    echo "$model CLEAN"
+  done
+  for model in "${models[@]}"; do
+    grep -oE '\b(FAULT|REACH)_[A-Z_]+' "$model.pml" | sort -u | sed "s/^/$model /"
+  done
+} >"$work/runs"
+echo "models: ${#models[@]}, runs: $(wc -l <"$work/runs")"
+if xargs -P "$PARALLEL" -L1 bash -c 'check_one "$0" "$1"' <"$work/runs"; then
+  echo "models: all runs as expected"
+else
+  echo "models: at least one run was not as expected" >&2
+  exit 1
+fi
