--- a/spec/check.sh
+++ b/spec/check.sh
@@ -67,7 +67,7 @@
 fi
 {
   for model in "${models[@]}"; do
-    { echo CLEAN; grep -oE '\bCLEAN_[A-Z_]+' "$model.pml"; } | sort -u | sed "s/^/$model /"
+    { echo CLEAN; grep -oE '\bCLEAN_[A-Z_]+' "$model.pml" || true; } | sort -u | sed "s/^/$model /"
   done
   for model in "${models[@]}"; do
     grep -oE '\b(FAULT|REACH)_[A-Z_]+' "$model.pml" | sort -u | sed "s/^/$model /"
