Settings book: a value counts as newer only when its history holds the change in force

Cause: the settings model showed that a store restored from an older copy gives revisions out again; an accepted change could be replaced by a value that was made without it, and an equal revision was taken for the same value. Ruled out: comparing revisions of the store as a whole (writes to other keys raise them past what is held within seconds). Change: a value is applied when its history has the held change, or, after more changes than a history remembers, when the oldest was made on what is held or later; anything else is kDiverged, counted, and confirms nothing.

--- a/src/include/briarwind/settings_book.h
+++ b/src/include/briarwind/settings_book.h
@@ -15,23 +15,25 @@
 enum class book_outcome : std::uint8_t
 {
   kApplied,
-  kSame,    ///< already held at that revision
-  kOlder,   ///< the book holds a higher revision; nothing changed
-  kInvalid, ///< the value cannot be read; the book keeps the last good one
+  kSame,     ///< already held at that revision
+  kOlder,    ///< the book holds a higher revision; nothing changed
+  kInvalid,  ///< the value cannot be read; the book keeps the last good one
+  kDiverged, ///< the value was made without the held change: the store went back; nothing changed
 };
 
 /// What a whole listing did to a book.
 struct listing_outcome
 {
   int mApplied = 0;
-  int mOlder = 0; ///< subtrees that the listing has at a lower revision, or not at all
+  int mOlder = 0; ///< subtrees that the listing has older or diverged, or not at all
   int mInvalid = 0;
   /// The listing is at least as new as the book in every subtree, so it confirms the view.
   bool Confirms() const { return mOlder == 0; }
 };
 
 /// The settings that are in force in one process. Each subtree only ever moves to a higher
-/// revision, and only a record that says so deletes one; so an older answer reverts nothing.
+/// revision whose history holds the change in force, and only a record that says so deletes one; so
+/// neither an older answer nor a store that was restored from an older copy reverts anything.
 class settings_book
 {
 public:
@@ -50,6 +52,7 @@
   listing_outcome ApplyListing(const store_listing& aListing);
 
   /// Subtrees that are held but not in the listing: the store has lost them.
+  void NoteInvalid(finding aFinding);
   int CountMissing(const store_listing& aListing) const;
 
   /// The view in force. A later change makes a new view, so it may be kept while a fiber waits.
@@ -60,7 +63,7 @@
   const entry* Find(const settings_path& aPath) const;
   const std::map<std::string, entry, std::less<>>& Entries() const { return mEntries; }
 
-  /// Offers that were older than what is held, since the start.
+  /// Offers that were older than what is held, or diverged from it, since the start.
   std::uint64_t OlderOffers() const { return mOlderOffers; }
   /// Findings of the values that could not be read, newest last.
   const findings& InvalidValues() const { return mInvalidValues; }
--- a/src/libsettings/settings_book.cpp
+++ b/src/libsettings/settings_book.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <set>
 #include <string_view>
+#include <utility>
 
 namespace briarwind {
 
@@ -12,6 +13,30 @@
 // Invalid values are rare; this bounds what a store full of them can make a process hold.
 constexpr std::size_t kMostInvalidValues = 100;
 
+bool HasChange(const settings_record& aRecord, const std::string& aId)
+{
+  return std::ranges::find(aRecord.mHistory, aId, &change_record::mId) != aRecord.mHistory.end();
+}
+
+// A store that was restored from an older copy gives its revisions out a second time, so a higher
+// one alone does not show that a value was made from the one that is held.
+bool FollowsFrom(const settings_book::entry& aHeld, const settings_record& aOffered)
+{
+  const auto& heldHistory = aHeld.mRecord.mHistory;
+  if (heldHistory.empty() || HasChange(aOffered, heldHistory.front().mId)) {
+    return true;
+  }
+  // After more changes than a history remembers, the oldest one left tells what it was made on.
+  const auto& history = aOffered.mHistory;
+  return history.size() >= kHistoryLength && history.back().mBase >= aHeld.mRevision;
+}
+
+// The same revision twice is the same value, unless the store went back in between.
+bool IsSame(const settings_book::entry& aHeld, const settings_record& aOffered)
+{
+  return aHeld.mRecord.mHistory == aOffered.mHistory;
+}
+
 } // namespace
 
 settings_book::settings_book()
@@ -40,23 +65,26 @@
     return book_outcome::kSame;
   }
   const auto held = mEntries.find(aValue.mKey);
-  const store_revision heldRevision = held == mEntries.end() ? 0 : held->second.mRevision;
-  if (aValue.mModified < heldRevision) {
+  const bool isHeld = held != mEntries.end();
+  if (isHeld && aValue.mModified < held->second.mRevision) {
     ++mOlderOffers;
     return book_outcome::kOlder;
   }
-  if (aValue.mModified == heldRevision) {
-    return book_outcome::kSame;
-  }
   const auto record = Settle([&] { return DecodeSettingsRecord(aValue.mValue); });
   if (!record) {
-    mInvalidValues.push_back(
-      { severity::kError, ToString(*path), aValue.mValue, record.error().mWhat });
+    NoteInvalid({ severity::kError, ToString(*path), aValue.mValue, record.error().mWhat });
+    return book_outcome::kInvalid;
   }
-  if (mInvalidValues.size() > kMostInvalidValues) {
-    mInvalidValues.erase(mInvalidValues.begin());
+  if (isHeld && aValue.mModified == held->second.mRevision &&
+      IsSame(held->second, record.value())) {
+    return book_outcome::kSame;
+  }
+  if (isHeld &&
+      (aValue.mModified == held->second.mRevision || !FollowsFrom(held->second, record.value()))) {
+    ++mOlderOffers;
+    return book_outcome::kDiverged;
   }
-  if (!record || !Read(aView, *path, record.value())) {
+  if (!Read(aView, *path, record.value())) {
     return book_outcome::kInvalid;
   }
   mEntries[aValue.mKey] = { aValue.mModified, record.value() };
@@ -64,6 +92,14 @@
   return book_outcome::kApplied;
 }
 
+void settings_book::NoteInvalid(finding aFinding)
+{
+  mInvalidValues.push_back(std::move(aFinding));
+  if (mInvalidValues.size() > kMostInvalidValues) {
+    mInvalidValues.erase(mInvalidValues.begin());
+  }
+}
+
 book_outcome settings_book::Apply(const stored_value& aValue)
 {
   auto next = std::make_shared<settings_view>(*mView);
@@ -84,7 +120,8 @@
   for (const stored_value& each : aListing.mValues) {
     const book_outcome outcome = Offer(*next, each);
     total.mApplied += outcome == book_outcome::kApplied ? 1 : 0;
-    total.mOlder += outcome == book_outcome::kOlder ? 1 : 0;
+    const bool behind = outcome == book_outcome::kOlder || outcome == book_outcome::kDiverged;
+    total.mOlder += behind ? 1 : 0;
     total.mInvalid += outcome == book_outcome::kInvalid ? 1 : 0;
   }
   if (total.mApplied > 0) {
--- a/src/libsettings/settings_book_test.cpp
+++ b/src/libsettings/settings_book_test.cpp
@@ -73,6 +73,63 @@
   }
 }
 
+namespace {
+
+// A subtree as the changes c1 … cN of one history leave it, newest first.
+stored_value Changed(store_revision aRevision, const std::vector<std::string>& aChanges)
+{
+  settings_record record;
+  record.mSettings = R"({"withdrawn":true})";
+  for (const std::string& each : aChanges) {
+    record.mHistory.push_back({ each, "ana", wall_time(milliseconds(1'000)), 0, "" });
+  }
+  stored_value value;
+  value.mKey = std::string(kSettingsPrefix) + "domains/d1";
+  value.mValue = Encode(record);
+  value.mModified = aRevision;
+  return value;
+}
+
+} // namespace
+
+BW_STORY("a book and a store that went back to an older copy")
+{
+  settings_book book;
+  book.Apply(Changed(5, { "c2", "c1" }));
+  BW_SECTION("keeps out a later value that was written without the held change")
+  {
+    BW_CHECK(book.Apply(Changed(7, { "c3", "c1" })) == book_outcome::kDiverged);
+    BW_EQUAL(std::string("c2"), book.Find(Path("/domains/d1"))->mRecord.mHistory.front().mId);
+    BW_EQUAL(store_revision{ 5 }, book.Revision());
+  }
+  BW_SECTION("takes no other change for the held one though its revision is the same")
+  {
+    BW_CHECK(book.Apply(Changed(5, { "c3", "c1" })) == book_outcome::kDiverged);
+    BW_CHECK(!book.ApplyListing({ 5, { Changed(5, { "c3", "c1" }) } }).Confirms());
+  }
+  BW_SECTION("goes on once the held change is back in the history")
+  {
+    BW_CHECK(book.Apply(Changed(9, { "c4", "c2", "c1" })) == book_outcome::kApplied);
+  }
+  BW_SECTION("goes on after more changes than a history remembers")
+  {
+    stored_value value = Changed(90, std::vector<std::string>(kHistoryLength, "later"));
+    settings_record record = Settle([&] { return DecodeSettingsRecord(value.mValue); }).value();
+    BW_SECTION("when the oldest of them was made on what is held, or later")
+    {
+      record.mHistory.back().mBase = 5;
+      value.mValue = Encode(record);
+      BW_CHECK(book.Apply(value) == book_outcome::kApplied);
+    }
+    BW_SECTION("but not when it was made on something earlier")
+    {
+      record.mHistory.back().mBase = 4;
+      value.mValue = Encode(record);
+      BW_CHECK(book.Apply(value) == book_outcome::kDiverged);
+    }
+  }
+}
+
 BW_STORY("a book offered the same values in any order and any number of times")
 {
   const bool holds = rc::check("holds the highest revision of each subtree", [] {
