HTTP server: a slow caller gets its 408

Cause: Beast's tcp_stream closes its socket when its own timeout passes, so the 408 was counted but never sent; a caller saw a closed connection. The limit is a timer of ours now that cancels the read and leaves the socket open.

--- a/src/libnet/http_session.cpp
+++ b/src/libnet/http_session.cpp
@@ -3,6 +3,7 @@
 #include "await.h"
 #include "beast_convert.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -16,6 +17,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -81,6 +83,47 @@
   return wire;
 }
 
+// Ends the reads of a stream at a time limit. The stream's own timeout would close the socket, and
+// the refusal could not be written any more.
+class read_limit
+{
+public:
+  read_limit(beast::tcp_stream& aStream, milliseconds aLimit)
+    : mTimer(aStream.get_executor(), aLimit)
+    , mGuard(std::make_shared<guard>())
+  {
+    aStream.expires_never();
+    mGuard->mStream = &aStream;
+    mTimer.async_wait([guard = mGuard](beast::error_code aCode) {
+      if (!aCode && guard->mStream != nullptr) {
+        guard->mPassed = true;
+        guard->mStream->cancel();
+      }
+    });
+  }
+
+  // A handler that is on its way already must not touch the stream any more.
+  ~read_limit() { mGuard->mStream = nullptr; }
+
+  read_limit(const read_limit&) = delete;
+  read_limit& operator=(const read_limit&) = delete;
+
+  beast::error_code Explain(beast::error_code aCode) const
+  {
+    return aCode && mGuard->mPassed ? make_error_code(beast::error::timeout) : aCode;
+  }
+
+private:
+  struct guard
+  {
+    beast::tcp_stream* mStream = nullptr;
+    bool mPassed = false;
+  };
+
+  asio::steady_timer mTimer;
+  std::shared_ptr<guard> mGuard;
+};
+
 class beast_chunk_writer : public http_chunk_writer
 {
 public:
@@ -141,23 +184,29 @@
   {
     aParser.body_limit(mShared.mLimits.mBodyBytes);
     aParser.header_limit(static_cast<std::uint32_t>(mShared.mLimits.mHeaderBytes));
-    mStream.expires_after(mShared.mLimits.mHeaderTimeout);
-    const auto [headerCode, headerBytes] = Await<std::size_t>([&](auto aHandler) {
+    beast::error_code code = ReadHeader(aParser);
+    if (!code && beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
+      mStream.expires_after(mShared.mLimits.mWriteTimeout);
+      code = WriteContinue();
+    }
+    return code ? code : ReadBody(aParser);
+  }
+
+  beast::error_code ReadHeader(request_parser& aParser)
+  {
+    const read_limit limit(mStream, mShared.mLimits.mHeaderTimeout);
+    const auto [code, bytes] = Await<std::size_t>([&](auto aHandler) {
       http::async_read_header(mStream, mBuffer, aParser, std::move(aHandler));
     });
-    if (headerCode) {
-      return headerCode;
-    }
-    mStream.expires_after(mShared.mLimits.mBodyTimeout);
-    if (beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
-      const beast::error_code code = WriteContinue();
-      if (code) {
-        return code;
-      }
-    }
-    const auto [bodyCode, bodyBytes] = Await<std::size_t>(
+    return limit.Explain(code);
+  }
+
+  beast::error_code ReadBody(request_parser& aParser)
+  {
+    const read_limit limit(mStream, mShared.mLimits.mBodyTimeout);
+    const auto [code, bytes] = Await<std::size_t>(
       [&](auto aHandler) { http::async_read(mStream, mBuffer, aParser, std::move(aHandler)); });
-    return bodyCode;
+    return limit.Explain(code);
   }
 
   beast::error_code WriteContinue()
