--- a/src/include/briarwind/share_ledger.h
+++ b/src/include/briarwind/share_ledger.h
@@ -10,18 +10,25 @@
 
 namespace briarwind {
 
-/// The routers that share the instances, as agreed in the store; ordered by revision.
+/// The routers that share the instances, as listed in the store.
 struct member_view
 {
-  std::int64_t mRevision = 0;
+  std::int64_t mRevision = 0; ///< of the listing; orders the views of one router
   std::vector<std::string> mMembers;
 };
 
+/// Names a set of members; equal in all routers that see the same set. Never 0.
+using view_id = std::uint64_t;
+
+view_id IdOf(const member_view& aView);
+
 /// What one router tells the others about the views it holds.
 struct share_report
 {
-  std::int64_t mSettled = 0; ///< newest view within whose share it stays from now on
-  std::int64_t mBase = 0;    ///< view whose share it uses; 0: none yet
+  std::uint64_t mSequence = 0; ///< rises with each report of one router
+  view_id mSettled = 0;        ///< newest view within whose share it stays from now on
+  view_id mBase = 0;           ///< view whose share it uses; 0: none yet
+  view_id mNewest = 0;         ///< newest view that it has seen
 };
 
 /// aMember's part of aTotal units of aResource: units are dealt out in rendezvous order, so the
@@ -47,8 +54,15 @@
   void AdoptFixed(const member_view& aView);
   /// What another router said.
   void Hear(const std::string& aMember, const share_report& aReport, instant aNow);
-  /// A router whose view of the members is no longer confirmed may use nothing.
-  void SetFresh(bool aFresh);
+  /// A router whose view of the members is no longer confirmed may use nothing; when it is
+  /// confirmed again the router starts as if it had just joined.
+  void SetFresh(bool aFresh, instant aNow);
+  bool IsFresh() const { return mFresh; }
+  /// Whether it may use its share of some view.
+  bool HasBase() const { return mHasBase; }
+  /// Whether at least half of the members of the newest view, this router included, said after
+  /// aSince that it is their newest one too.
+  bool IsConfirmedByPeers(instant aSince) const;
   /// This router uses no more than its share in the newest view.
   void Settle();
   /// Moves the base on where the rule allows it.
@@ -57,7 +71,7 @@
   int Allowance(std::string_view aResource, int aTotal) const;
   /// This router's share in the newest view, whether it may use it yet or not.
   int NewestShare(std::string_view aResource, int aTotal) const;
-  share_report Report() const { return { mSettled, Base() }; }
+  share_report Report();
   /// Routers in the newest view, at least one.
   std::size_t Members() const;
   const std::vector<std::string>& MemberNames() const;
@@ -65,18 +79,24 @@
   std::uint64_t Generation() const { return mGeneration; }
 
 private:
-  std::int64_t Base() const { return mHasBase ? mViews.front().mRevision : 0; }
-  bool HasSettled(const std::string& aMember, std::int64_t aRevision, instant aNow) const;
+  struct heard_report
+  {
+    share_report mReport;
+    instant mAt;
+  };
+
+  bool HasSettled(const std::string& aMember, view_id aView, instant aNow) const;
   bool MayBecomeBase(std::size_t aIndex, instant aNow) const;
 
   std::string mSelf;
   duration mRelease;
   bool mHasBase = false;
   bool mFresh = true;
-  std::int64_t mSettled = 0;
+  view_id mSettled = 0;
+  std::uint64_t mSequence = 0;
   std::uint64_t mGeneration = 0;
   std::vector<member_view> mViews; ///< the base, when there is one, and all later views
-  std::map<std::string, share_report, std::less<>> mReports;
+  std::map<std::string, heard_report, std::less<>> mReports;
   std::map<std::string, instant, std::less<>> mRemoved; ///< when first seen off the list
   instant mFirstView;
 };
--- a/src/librouting/share_ledger.cpp
+++ b/src/librouting/share_ledger.cpp
@@ -2,6 +2,8 @@
 
 #include "briarwind/rendezvous.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -28,6 +30,17 @@
   return aTotal / members + (rank < aTotal % members ? 1 : 0);
 }
 
+view_id IdOf(const member_view& aView)
+{
+  std::vector<std::string> names = aView.mMembers;
+  std::ranges::sort(names);
+  view_id id = 1;
+  for (const std::string& each : names) {
+    id = XXH3_64bits_withSeed(each.data(), each.size(), id);
+  }
+  return std::max<view_id>(1, id);
+}
+
 share_ledger::share_ledger(std::string aSelf, duration aRelease)
   : mSelf(std::move(aSelf))
   , mRelease(aRelease)
@@ -47,6 +60,8 @@
       }
     }
   }
+  std::erase_if(mRemoved,
+                [&](const auto& aEntry) { return Contains(aView.mMembers, aEntry.first); });
   mViews.push_back(aView);
   ++mGeneration;
   Advance(aNow);
@@ -56,41 +71,75 @@
 {
   mViews = { aView };
   mHasBase = true;
-  mSettled = aView.mRevision;
+  mSettled = IdOf(aView);
   ++mGeneration;
 }
 
 void share_ledger::Hear(const std::string& aMember, const share_report& aReport, instant aNow)
 {
-  // Reports can cross on the way; what a router settled on it keeps.
-  share_report& known = mReports[aMember];
-  known.mSettled = std::max(known.mSettled, aReport.mSettled);
-  known.mBase = std::max(known.mBase, aReport.mBase);
-  Advance(aNow);
+  heard_report& known = mReports[aMember];
+  // Reports can cross on the way.
+  if (aReport.mSequence > known.mReport.mSequence) {
+    known = { aReport, aNow };
+    Advance(aNow);
+  }
 }
 
-void share_ledger::SetFresh(bool aFresh)
+void share_ledger::SetFresh(bool aFresh, instant aNow)
 {
-  mGeneration += mFresh == aFresh ? 0 : 1;
+  if (mFresh == aFresh) {
+    return;
+  }
+  ++mGeneration;
   mFresh = aFresh;
+  if (aFresh && mHasBase) {
+    // The others may have gone on without this router.
+    mHasBase = false;
+    mSettled = 0;
+    mReports.clear();
+    mFirstView = aNow;
+    mViews.erase(mViews.begin(), std::prev(mViews.end()));
+  }
+}
+
+bool share_ledger::IsConfirmedByPeers(instant aSince) const
+{
+  if (mViews.empty()) {
+    return false;
+  }
+  const view_id newest = IdOf(mViews.back());
+  const auto& members = mViews.back().mMembers;
+  const auto agreeing = std::ranges::count_if(members, [&](const std::string& aMember) {
+    const auto report = mReports.find(aMember);
+    return aMember == mSelf || (report != mReports.end() && report->second.mAt >= aSince &&
+                                report->second.mReport.mNewest == newest);
+  });
+  return 2 * static_cast<std::size_t>(agreeing) >= members.size();
+}
+
+share_report share_ledger::Report()
+{
+  share_report report{ ++mSequence, mSettled, 0, 0 };
+  report.mBase = mHasBase ? IdOf(mViews.front()) : 0;
+  report.mNewest = mViews.empty() ? 0 : IdOf(mViews.back());
+  return report;
 }
 
 void share_ledger::Settle()
 {
   if (!mViews.empty()) {
-    mSettled = mViews.back().mRevision;
+    mSettled = IdOf(mViews.back());
   }
 }
 
-bool share_ledger::HasSettled(const std::string& aMember, std::int64_t aRevision,
-                              instant aNow) const
+bool share_ledger::HasSettled(const std::string& aMember, view_id aView, instant aNow) const
 {
   if (aMember == mSelf) {
-    return mSettled == aRevision;
+    return mSettled == aView;
   }
   // A router may have skipped views: one settled in a later view need not stay within this one.
   if (const auto report = mReports.find(aMember);
-      report != mReports.end() && report->second.mSettled == aRevision) {
+      report != mReports.end() && report->second.mReport.mSettled == aView) {
     return true;
   }
   const auto removed = mRemoved.find(aMember);
@@ -99,12 +148,12 @@
 
 bool share_ledger::MayBecomeBase(std::size_t aIndex, instant aNow) const
 {
-  const std::int64_t revision = mViews[aIndex].mRevision;
+  const view_id candidate = IdOf(mViews[aIndex]);
   const bool settled =
     std::all_of(mViews.begin(), mViews.begin() + static_cast<std::ptrdiff_t>(aIndex) + 1,
                 [&](const member_view& aView) {
                   return std::ranges::all_of(aView.mMembers, [&](const std::string& aMember) {
-                    return HasSettled(aMember, revision, aNow);
+                    return HasSettled(aMember, candidate, aNow);
                   });
                 });
   if (!settled || mHasBase) {
@@ -115,7 +164,7 @@
   // stopped after the release time.
   const bool vouched = std::ranges::any_of(mViews[aIndex].mMembers, [&](const auto& aMember) {
     const auto report = mReports.find(aMember);
-    return report != mReports.end() && report->second.mBase == revision;
+    return report != mReports.end() && report->second.mReport.mBase == candidate;
   });
   return vouched || mFirstView + mRelease <= aNow;
 }
--- /dev/null
+++ b/src/load/main.cpp
@@ -0,0 +1,121 @@
+#include "load_runner.h"
+
+#include "briarwind/options.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <string>
+
+namespace briarwind {
+
+namespace {
+
+struct load_options
+{
+  std::vector<endpoint> mTargets;
+  std::int64_t mRate = 50;
+  std::int64_t mCount = 500;
+  milliseconds mTime{ 10'000 };
+  std::int64_t mOpen = 1'000;
+  std::int64_t mSeed = 1;
+  std::int64_t mFirstId = 1;
+  std::string mMix;
+  std::string mJson;
+  std::string mSvg;
+  bool mAnyAddress = false;
+};
+
+void AddOptions(option_set& aSet, load_options& aOptions)
+{
+  constexpr std::int64_t kMost = 1'000'000;
+  constexpr std::int64_t kFastest = 100'000;
+  aSet.Add("targets", aOptions.mTargets, "routers or instances, taken in turn");
+  aSet.Add("rate", aOptions.mRate, 1, kFastest, "mean requests a second");
+  aSet.Add("count", aOptions.mCount, 1, kMost, "requests at most");
+  aSet.Add("time", aOptions.mTime, milliseconds(1), minutes(10), "time in which requests start");
+  aSet.Add("open", aOptions.mOpen, 1, kFastest, "requests open at once at most");
+  aSet.Add("seed", aOptions.mSeed, 0, kMost, "seed of the arrivals");
+  aSet.Add("first-id", aOptions.mFirstId, 0, kMost * kMost, "number of the first request");
+  aSet.Add("mix", aOptions.mMix, "file with the kinds of requests");
+  aSet.Add("json", aOptions.mJson, "file for the report; empty: standard output");
+  aSet.Add("svg", aOptions.mSvg, "file for the plot; empty: none");
+  aSet.Add("any-address", aOptions.mAnyAddress, "allow targets that are not on loopback");
+  aSet.AddCheck([&aOptions](findings& aFindings) {
+    if (aOptions.mTargets.empty()) {
+      aFindings.push_back({ severity::kError, "--targets", "", "at least one ip:port" });
+    }
+    for (const endpoint& each : aOptions.mTargets) {
+      const bool local = boost::asio::ip::make_address(each.mAddress).is_loopback();
+      if (!local && !aOptions.mAnyAddress) {
+        aFindings.push_back({ severity::kError, "--targets", ToString(each),
+                              "a loopback address, or --any-address" });
+      }
+    }
+  });
+}
+
+std::string ReadFile(const std::string& aName)
+{
+  const std::ifstream file(aName);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+void WriteFile(const std::string& aName, const std::string& aText)
+{
+  if (!aName.empty()) {
+    std::ofstream(aName) << aText;
+  }
+}
+
+int Run(const load_options& aOptions)
+{
+  std::vector<load_kind> kinds{ load_kind{} };
+  if (!aOptions.mMix.empty()) {
+    auto mix = Settle([&] { return ParseMix(ReadFile(aOptions.mMix)); });
+    if (!mix) {
+      fmt::print(stderr, "{}: {}\n", aOptions.mMix, mix.error().mWhat);
+      return 2;
+    }
+    kinds = std::move(mix).value();
+  }
+  load_run run;
+  run.mTargets = aOptions.mTargets;
+  run.mKinds = kinds;
+  run.mPlan = PlanArrivals(kinds, static_cast<double>(aOptions.mRate), aOptions.mTime,
+                           static_cast<std::size_t>(aOptions.mCount),
+                           static_cast<std::uint64_t>(aOptions.mSeed));
+  run.mMostOpen = static_cast<std::size_t>(aOptions.mOpen);
+  run.mFirstId = static_cast<std::uint64_t>(aOptions.mFirstId);
+  fiber_runtime runtime;
+  const instant begin = monotonic_clock::now();
+  const load_report report = RunLoad(runtime, run);
+  const std::string json = report.ToJson(monotonic_clock::now() - begin);
+  if (aOptions.mJson.empty()) {
+    fmt::print("{}", json);
+  }
+  WriteFile(aOptions.mJson, json);
+  WriteFile(aOptions.mSvg, report.ToSvg());
+  return report.Wrong() == 0 ? 0 : 1;
+}
+
+} // namespace
+
+} // namespace briarwind
+
+int main(int aCount, char** aArguments)
+{
+  briarwind::load_options options;
+  briarwind::option_set flags("briarwind-load",
+                              "Sends requests at planned times and reports what came of them.");
+  briarwind::AddOptions(flags, options);
+  flags.ParseOrExit(aCount, aArguments);
+  briarwind::fiber_runtime::Exit(briarwind::Run(options));
+}
--- a/src/router/request_broker.cpp
+++ b/src/router/request_broker.cpp
@@ -66,7 +66,6 @@
   http_request mRequest;
   std::string mRequestId;
   instant mDeadline;
-  bool mSent = false;
   std::shared_ptr<attempt> mAttempt; // the current one
   std::optional<http_response> mResponse;
   std::optional<conclude_action> mConclusion;
@@ -108,7 +107,7 @@
   }
   mCallers.erase(number);
   const reason told = caller->mConclusion->mReason;
-  routed_answer answer{ told, caller->mSent, std::nullopt };
+  routed_answer answer{ told, std::nullopt };
   if (TraitsOf(told).mStatus == 0) {
     answer.mResponse = std::move(caller->mResponse);
   }
@@ -240,7 +239,6 @@
     mMetrics.Count(meters::kLateAnswers, {}, exchange.mResponse ? 1 : 0);
     return ended;
   }
-  caller.mSent = caller.mSent || TraitsOf(ended).mOutcome != outcome::kNotRun;
   if (TraitsOf(ended).mOutcome == outcome::kUnknown) {
     LogEvent(events::kAnswerRejected,
              { Field("instance", instance), Field("request", caller.mRequestId),
--- a/src/router/request_broker.h
+++ b/src/router/request_broker.h
@@ -16,7 +16,6 @@
 struct routed_answer
 {
   reason mReason = reason::kAnswered;
-  bool mSent = false;                     ///< a byte of it may have reached an instance
   std::optional<http_response> mResponse; ///< of the instance, when it may be handed over
 };
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -4,6 +4,7 @@
 #include "caller_request.h"
 #include "request_broker.h"
 #include "router_events.h"
+#include "router_group.h"
 
 #include "briarwind/http_server.h"
 #include "briarwind/log.h"
@@ -44,15 +45,6 @@
   return limits;
 }
 
-member_view FixedMembers(const router_options& aOptions)
-{
-  member_view view{ 1, { ToString(aOptions.mPeerListen) } };
-  for (const endpoint& each : aOptions.mPeers) {
-    view.mMembers.push_back(ToString(each));
-  }
-  return view;
-}
-
 http_response Text(unsigned aStatus, std::string aBody)
 {
   http_response response;
@@ -93,13 +85,13 @@
     : mRuntime(aRuntime)
     , mOptions(std::move(aOptions))
     , mCore(CoreOptions(mOptions), MakeTwoChoice())
+    , mGroup(aRuntime, mOptions, mCore)
     , mBroker(aRuntime, mCore, mMetrics, BrokerLimits(mOptions))
     , mHosts(aRuntime, mOptions.mHostLists, mOptions.mHostPoll, mMetrics,
              [this](const host_list& aList) { TakeHosts(aList); })
     , mServer(aRuntime, mOptions.mListen,
               [this](const http_request& aRequest) { return Answer(aRequest); })
   {
-    mCore.Shares().AdoptFixed(FixedMembers(mOptions));
     mServer.OnRefusal([this](http_server_refusal aRefusal) {
       mMetrics.Count(meters::kCallerRefusals, ToString(aRefusal));
     });
@@ -113,7 +105,7 @@
     mBroker.TrimConnections();
   }
 
-  bool IsReady() const { return !mStopping && mHasHosts; }
+  bool IsReady() const { return !mStopping && mHasHosts && mGroup.IsReady(); }
 
   http_response Answer(const http_request& aRequest)
   {
@@ -137,7 +129,10 @@
 
   http_response Readiness()
   {
-    return IsReady() ? Text(200, "ready\n") : Text(503, mStopping ? "stopping\n" : "no hosts\n");
+    if (IsReady()) {
+      return Text(200, "ready\n");
+    }
+    return Text(503, mStopping ? "stopping\n" : mHasHosts ? "no share yet\n" : "no hosts\n");
   }
 
   http_response MetricsPage()
@@ -159,12 +154,30 @@
       return Finish(FindingsResponse(TraitsOf(reason::kBadHeader).mStatus, wrong),
                     reason::kBadHeader, caller, begun);
     }
-    routed_answer answer = mBroker.Route(caller, aRequest, begun + caller.mWait);
+    routed_answer answer = caller.mKey.empty()
+                             ? mBroker.Route(caller, aRequest, begun + caller.mWait)
+                             : RouteOnce(caller, aRequest, begun + caller.mWait);
     const reason_traits& traits = TraitsOf(answer.mReason);
     http_response response = answer.mResponse ? std::move(*answer.mResponse) : OwnResponse(traits);
     return Finish(std::move(response), answer.mReason, caller, begun);
   }
 
+  /// Routes a request with an idempotency key: the key is claimed before anything is sent.
+  routed_answer RouteOnce(const caller_request& aCaller, const http_request& aRequest,
+                          instant aDeadline)
+  {
+    const key_digest key = DigestKey(aCaller.mOrganisation, aCaller.mKey);
+    const claim_owner owner = mGroup.NewOwner();
+    if (const auto refused = mGroup.Claims().Claim(key, owner, aDeadline)) {
+      return { *refused, std::nullopt };
+    }
+    routed_answer answer = mBroker.Route(aCaller, aRequest, aDeadline);
+    if (TraitsOf(answer.mReason).mOutcome == outcome::kNotRun) {
+      mGroup.Claims().Withdraw(key, owner);
+    }
+    return answer;
+  }
+
   http_response Finish(http_response aResponse, reason aReason, const caller_request& aCaller,
                        instant aBegun)
   {
@@ -186,6 +199,7 @@
     while (true) {
       SleepFor(kTickEvery);
       mBroker.Tick();
+      mGroup.Step(monotonic_clock::now());
       if (monotonic_clock::now() >= trimAt) {
         mBroker.TrimConnections();
         trimAt += kTrimEvery;
@@ -211,6 +225,7 @@
   router_options mOptions;
   metrics mMetrics;
   routing_core mCore;
+  router_group mGroup;
   request_broker mBroker;
   host_poller mHosts;
   bool mHasHosts = false;
--- /dev/null
+++ b/src/router/router_group.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "key_claimer.h"
+#include "router_link.h"
+#include "router_options.h"
+
+#include "briarwind/member.h"
+#include "briarwind/routing_core.h"
+
+#include <memory>
+#include <optional>
+#include <random>
+
+namespace briarwind {
+
+/// This router among the others: the members that share the instances, what the routers tell each
+/// other, and the claims of idempotency keys.
+class router_group
+{
+public:
+  router_group(fiber_runtime& aRuntime, const router_options& aOptions, routing_core& aCore);
+
+  /// The store listed these members at a read that began at aBegun.
+  void OnMembers(const std::vector<member>& aMembers, instant aBegun);
+  /// Tells the others how things stand and checks that the members are still confirmed. To be
+  /// called a few times a second.
+  void Step(instant aNow);
+  /// Whether this router may use its share of the instances.
+  bool IsReady() const;
+
+  claim_owner NewOwner();
+  key_claimer& Claims() { return mClaimer; }
+
+private:
+  void OnReport(const router_report& aReport);
+  claim_verdict OnClaim(const claim_request& aRequest);
+  void UseListedPeers(instant aNow);
+  void CheckConfirmed(instant aNow);
+  bool HasNews(const share_report& aReport) const;
+  void TellAll(instant aNow);
+
+  fiber_runtime& mRuntime;
+  routing_core& mCore;
+  std::string mSelf;
+  std::vector<std::string> mListedPeers; ///< by the flag, this router included
+  duration mRelease;
+  bool mHasStore;
+  claim_table mTable;
+  std::optional<router_link> mLink;
+  key_claimer mClaimer;
+  std::mt19937_64 mRandom;
+  instant mStarted;
+  std::optional<instant> mConfirmed; ///< when the members were last listed or agreed on
+  std::int64_t mViews = 0;
+  share_report mTold;
+  std::vector<std::string> mToldLeaving;
+  instant mTellAt;
+};
+
+} // namespace briarwind
