--- a/src/router/main.cpp
+++ b/src/router/main.cpp
@@ -1,8 +1,10 @@
 #include "router.h"
+#include "router_events.h"
 #include "router_options.h"
 
 #include "briarwind/fiber_runtime.h"
 
+#include <system_error>
 #include <utility>
 
 int main(int aCount, char** aArguments)
@@ -13,8 +15,14 @@
   flags.ParseOrExit(aCount, aArguments);
 
   briarwind::fiber_runtime runtime;
-  briarwind::router router(runtime, std::move(options));
-  const int status = router.Run();
-  // Fibers that wait for late answers or poll the host list never end on their own.
-  briarwind::fiber_runtime::Exit(status);
+  try {
+    briarwind::router router(runtime, std::move(options));
+    const int status = router.Run();
+    // Fibers that wait for late answers or poll the host list never end on their own.
+    briarwind::fiber_runtime::Exit(status);
+  } catch (const std::system_error& failure) {
+    briarwind::LogEvent(briarwind::events::kRouterFailed,
+                        { briarwind::Field("what", std::string_view(failure.what())) });
+    briarwind::fiber_runtime::Exit(1);
+  }
 }
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -10,6 +10,8 @@
 #include "briarwind/log.h"
 #include "briarwind/metrics.h"
 #include "briarwind/routing_core.h"
+#include "briarwind/settings_node.h"
+#include "briarwind/store_client.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -26,11 +28,47 @@
 
 constexpr milliseconds kTickEvery{ 5 };
 constexpr seconds kTrimEvery{ 1 };
+constexpr milliseconds kLeaveTime{ 500 };
 
-routing_options CoreOptions(const router_options& aOptions)
+settings_node_options NodeOptions(const router_options& aOptions, const endpoint& aListening)
+{
+  settings_node_options options;
+  options.mSelf.mKind = member_kind::kRouter;
+  options.mSelf.mHttp = aListening;
+  options.mSelf.mPeer = aOptions.mPeerListen;
+  options.mSelf.mDomain = aOptions.mDomain;
+  options.mPeers = aOptions.mPeers;
+  options.mSeed = std::random_device()();
+  return options;
+}
+
+/// The settings from the store and the other members, for a router that has a store.
+struct store_side
+{
+  store_side(fiber_runtime& aRuntime, metrics& aMetrics, const router_options& aOptions,
+             const endpoint& aListening)
+    : mStore(aRuntime, aOptions.mStores, aMetrics)
+    , mNode(aRuntime, mStore, aMetrics, NodeOptions(aOptions, aListening))
+  {
+  }
+
+  etcd_store mStore;
+  settings_node mNode;
+};
+
+std::unique_ptr<store_side> MakeStoreSide(fiber_runtime& aRuntime, metrics& aMetrics,
+                                          const router_options& aOptions,
+                                          const endpoint& aListening)
+{
+  return aOptions.mStores.empty()
+           ? nullptr
+           : std::make_unique<store_side>(aRuntime, aMetrics, aOptions, aListening);
+}
+
+routing_options CoreOptions(const router_options& aOptions, const endpoint& aSelf)
 {
   routing_options options;
-  options.mSelf = ToString(aOptions.mPeerListen);
+  options.mSelf = ToString(aSelf);
   options.mDomain = aOptions.mDomain;
   options.mRelease = aOptions.mReleaseTime;
   options.mQueued = static_cast<std::size_t>(aOptions.mQueue);
@@ -84,19 +122,49 @@
   state(fiber_runtime& aRuntime, router_options aOptions)
     : mRuntime(aRuntime)
     , mOptions(std::move(aOptions))
-    , mCore(CoreOptions(mOptions), MakeTwoChoice())
-    , mGroup(aRuntime, mOptions, mCore)
+    , mServer(aRuntime, mOptions.mListen,
+              [this](const http_request& aRequest) { return Answer(aRequest); })
+    , mStoreSide(MakeStoreSide(aRuntime, mMetrics, mOptions, mServer.Listening()))
+    , mSelf(mStoreSide ? mStoreSide->mNode.Self().mPeer : mOptions.mPeerListen)
+    , mCore(CoreOptions(mOptions, mSelf), MakeTwoChoice())
+    , mGroup(aRuntime, mOptions, mSelf, mCore)
     , mBroker(aRuntime, mCore, mMetrics, BrokerLimits(mOptions))
     , mHosts(aRuntime, mOptions.mHostLists, mOptions.mHostPoll, mMetrics,
              [this](const host_list& aList) { TakeHosts(aList); })
-    , mServer(aRuntime, mOptions.mListen,
-              [this](const http_request& aRequest) { return Answer(aRequest); })
   {
     mServer.OnRefusal([this](http_server_refusal aRefusal) {
       mMetrics.Count(meters::kCallerRefusals, ToString(aRefusal));
     });
   }
 
+  void Start()
+  {
+    if (mStoreSide) {
+      mStoreSide->mNode.OnChange([this] { TakeSettings(); });
+      mStoreSide->mNode.Start();
+    }
+    mRuntime.Spawn([this] { mHosts.Run(); });
+    mRuntime.Spawn([this] { TickForever(); });
+  }
+
+  void TakeSettings()
+  {
+    mCore.SetSettings(*mStoreSide->mNode.View(), monotonic_clock::now());
+    mBroker.Pump();
+    mBroker.TrimConnections();
+  }
+
+  void TakeMembers(instant aNow)
+  {
+    if (!mStoreSide) {
+      return;
+    }
+    const freshness_check check = mStoreSide->mNode.Check(aNow);
+    if (check.IsFresh() && check.mSource == confirmation_source::kStore) {
+      mGroup.OnMembers(mStoreSide->mNode.Members(), aNow);
+    }
+  }
+
   void TakeHosts(const host_list& aList)
   {
     mHasHosts = true;
@@ -119,6 +187,7 @@
       page{ "/healthz", &state::Health },
       page{ "/readyz", &state::Readiness },
       page{ "/metrics", &state::MetricsPage },
+      page{ "/v1/inforce", &state::InForce },
     };
     const std::string_view path = TargetPath(aRequest.mTarget);
     const auto* own = std::ranges::find(kPages, path, &page::mPath);
@@ -135,6 +204,12 @@
     return Text(503, mStopping ? "stopping\n" : mHasHosts ? "no share yet\n" : "no hosts\n");
   }
 
+  http_response InForce()
+  {
+    return mStoreSide ? mStoreSide->mNode.InForce()
+                      : JsonResponse(200, R"({"member":"","revision":0})");
+  }
+
   http_response MetricsPage()
   {
     mMetrics.Set(meters::kQueued, static_cast<double>(mCore.Queued()));
@@ -199,6 +274,7 @@
     while (true) {
       SleepFor(kTickEvery);
       mBroker.Tick();
+      TakeMembers(monotonic_clock::now());
       mGroup.Step(monotonic_clock::now());
       if (monotonic_clock::now() >= trimAt) {
         mBroker.TrimConnections();
@@ -217,6 +293,9 @@
       LogEvent(events::kRouterCutRequests, { Field("inFlight", mServer.InFlight()) });
       return 1;
     }
+    if (mStoreSide) {
+      mStoreSide->mNode.Leave(monotonic_clock::now() + kLeaveTime);
+    }
     LogEvent(events::kRouterStopped);
     return 0;
   }
@@ -224,13 +303,15 @@
   fiber_runtime& mRuntime;
   router_options mOptions;
   metrics mMetrics;
+  bool mHasHosts = false;
+  bool mStopping = false;
+  http_server mServer; // answers nothing before the members below are there: no fiber runs yet
+  std::unique_ptr<store_side> mStoreSide;
+  endpoint mSelf; // this router among the members
   routing_core mCore;
   router_group mGroup;
   request_broker mBroker;
   host_poller mHosts;
-  bool mHasHosts = false;
-  bool mStopping = false;
-  http_server mServer;
 };
 
 router::router(fiber_runtime& aRuntime, router_options aOptions)
@@ -242,8 +323,7 @@
 
 int router::Run()
 {
-  mState->mRuntime.Spawn([this] { mState->mHosts.Run(); });
-  mState->mRuntime.Spawn([this] { mState->TickForever(); });
+  mState->Start();
   LogEvent(events::kRouterStarted,
            { Field("listen", ToString(mState->mServer.Listening())),
              Field("name", mState->mOptions.mName), Field("domain", mState->mOptions.mDomain) });
--- a/src/router/router_events.cpp
+++ b/src/router/router_events.cpp
@@ -7,8 +7,9 @@
 std::span<const event_kind> RouterEvents()
 {
   static constexpr std::array kAll{
-    kRouterStarted,   kRouterStopping, kRouterDraining, kRouterStopped,    kRouterCutRequests,
-    kInstanceEjected, kAnswerRejected, kMembersChanged, kViewNotConfirmed, kViewConfirmed,
+    kRouterStarted,     kRouterStopping,   kRouterDraining,  kRouterStopped,
+    kRouterCutRequests, kRouterFailed,     kInstanceEjected, kAnswerRejected,
+    kMembersChanged,    kViewNotConfirmed, kViewConfirmed,
   };
   return kAll;
 }
--- a/src/router/router_events.h
+++ b/src/router/router_events.h
@@ -19,6 +19,8 @@
 inline constexpr event_kind kRouterCutRequests{ 2005, log_level::kError, "router.cut-requests",
                                                 "Requests were still in flight at the end of the "
                                                 "drain time." };
+inline constexpr event_kind kRouterFailed{ 2006, log_level::kError, "router.failed",
+                                           "The router could not start." };
 inline constexpr event_kind kInstanceEjected{ 2020, log_level::kWarning, "router.instance-ejected",
                                               "An instance failed too often and gets no requests "
                                               "for a while." };
--- a/src/router/router_group.cpp
+++ b/src/router/router_group.cpp
@@ -16,9 +16,9 @@
 // With many members each one tells the others less often, so that the traffic grows slower.
 constexpr milliseconds kTellPerMember{ 50 };
 
-std::vector<std::string> ListedPeers(const router_options& aOptions)
+std::vector<std::string> ListedPeers(const router_options& aOptions, const endpoint& aSelf)
 {
-  std::vector<std::string> names{ ToString(aOptions.mPeerListen) };
+  std::vector<std::string> names{ ToString(aSelf) };
   std::ranges::transform(aOptions.mPeers, std::back_inserter(names),
                          [](const endpoint& aPeer) { return ToString(aPeer); });
   std::ranges::sort(names);
@@ -29,11 +29,11 @@
 } // namespace
 
 router_group::router_group(fiber_runtime& aRuntime, const router_options& aOptions,
-                           routing_core& aCore)
+                           const endpoint& aSelf, routing_core& aCore)
   : mRuntime(aRuntime)
   , mCore(aCore)
-  , mSelf(ToString(aOptions.mPeerListen))
-  , mListedPeers(ListedPeers(aOptions))
+  , mSelf(ToString(aSelf))
+  , mListedPeers(ListedPeers(aOptions, aSelf))
   , mRelease(aOptions.mReleaseTime)
   , mHasStore(!aOptions.mStores.empty())
   , mTable(monotonic_clock::now(), kClaimsHeld, kClaimRetention)
@@ -46,9 +46,9 @@
   , mRandom(std::random_device{}())
   , mStarted(monotonic_clock::now())
 {
-  if (aOptions.mPeerListen.mPort != 0) {
+  if (aSelf.mPort != 0) {
     mLink.emplace(
-      aRuntime, aOptions.mPeerListen,
+      aRuntime, aSelf,
       router_link::handlers{ [this](const router_report& aReport) { OnReport(aReport); },
                              [this](const claim_request& aRequest) { return OnClaim(aRequest); } });
   }
@@ -57,7 +57,7 @@
   }
 }
 
-void router_group::OnMembers(const std::vector<member>& aMembers, instant aBegun)
+void router_group::OnMembers(const std::vector<member>& aMembers, instant aNow)
 {
   // A restarted router has its old name: the old process has ended, or it would hold the port.
   std::vector<std::string> names;
@@ -71,11 +71,11 @@
   if (std::ranges::find(names, mSelf) == names.end()) {
     return; // not registered yet, or no longer
   }
-  mConfirmed = std::max(mConfirmed.value_or(aBegun), aBegun);
+  mConfirmed = aNow;
   if (names != mCore.Shares().MemberNames()) {
     LogEvent(events::kMembersChanged, { Field("members", names.size()) });
-    mCore.Shares().Adopt({ ++mViews, names }, monotonic_clock::now());
-    mCore.Refresh(monotonic_clock::now());
+    mCore.Shares().Adopt({ ++mViews, names }, aNow);
+    mCore.Refresh(aNow);
   }
 }
 
--- a/src/router/router_group.h
+++ b/src/router/router_group.h
@@ -18,10 +18,12 @@
 class router_group
 {
 public:
-  router_group(fiber_runtime& aRuntime, const router_options& aOptions, routing_core& aCore);
+  /// @param aSelf where the other routers reach this one; port 0: there are no others
+  router_group(fiber_runtime& aRuntime, const router_options& aOptions, const endpoint& aSelf,
+               routing_core& aCore);
 
-  /// The store listed these members at a read that began at aBegun.
-  void OnMembers(const std::vector<member>& aMembers, instant aBegun);
+  /// The store, read a moment ago, lists these members.
+  void OnMembers(const std::vector<member>& aMembers, instant aNow);
   /// Tells the others how things stand and checks that the members are still confirmed. To be
   /// called a few times a second.
   void Step(instant aNow);
--- /dev/null
+++ b/testsuite/router_leaving/run.py
@@ -0,0 +1,70 @@
+"""Instances that leave, by the host list and by the settings, get no new work after 3 s."""
+
+import pathlib
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+from harness import check, http_call, request_headers, run_case
+
+SERVICE = "tags"
+BOUND_SECONDS = 3
+
+
+def load(cluster, prefix, count):
+    """Sends requests one after the other; returns how many each instance answered."""
+    served = {}
+    for number in range(count):
+        router = cluster.routers[number % len(cluster.routers)]
+        answer = http_call(router.address, "POST", f"/{SERVICE}/read", b"photo",
+                           request_headers(f"{prefix}-{number}", "ferraresi"), timeout=15)
+        check(answer.headers["Briarwind-Outcome"] == "ok", f"{answer.headers}")
+        name = answer.json()["instance"]
+        served[name] = served.get(name, 0) + 1
+    return served
+
+
+def start(cluster):
+    cluster.start_standins()
+    cluster.start_instances(SERVICE, ["d1"], 3)
+    cluster.publish_hosts()
+    cluster.start_routers(2, ["d1"], ("--balancer-lag", "200ms", "--release-time", "2s"))
+    for router in cluster.routers:
+        router.wait_ready(40)
+    served = load(cluster, "before", 60)
+    check(len(served) == 3, f"not all instances are used: {served}")
+
+
+def by_host_list(cluster):
+    cluster.hosts[0]["state"] = "leaving"
+    cluster.publish_hosts()
+    time.sleep(BOUND_SECONDS)
+    served = load(cluster, "listed", 60)
+    check("t1" not in served, f"t1 still got requests: {served}")
+
+
+def by_settings(cluster):
+    status, answer = cluster.ctl("set", "/targets/t2", '{"leaving": true}')
+    check(status in (0, 3), f"briarwind-ctl set exited with {status}: {answer}")
+    time.sleep(BOUND_SECONDS)
+    served = load(cluster, "set", 60)
+    check(set(served) == {"t3"}, f"t1 or t2 still got requests: {served}")
+
+
+def back_again(cluster):
+    cluster.hosts[0]["state"] = "live"
+    cluster.publish_hosts()
+    time.sleep(BOUND_SECONDS + 5)
+    served = load(cluster, "back", 60)
+    check("t1" in served, f"t1 is back and gets nothing: {served}")
+
+
+STEPS = [
+    ("two routers, three instances", start),
+    ("an instance that leaves by the host list gets no new work after 3 s", by_host_list),
+    ("an instance that leaves by the settings gets no new work after 3 s", by_settings),
+    ("an instance that comes back gets work again", back_again),
+]
+
+if __name__ == "__main__":
+    sys.exit(run_case("router_leaving", STEPS))
