--- a/spec/gang.pml
+++ b/spec/gang.pml
@@ -42,8 +42,13 @@
 #define LEASE 1                /* time to live of a running task's lease */
 #define HEARD 0                /* renew while all members answered within this */
 #define CONFIRMED 0            /* act while leadership was confirmed within this */
-#define WAIT (CONFIRMED + 2 * LEASE + 3)
-#define PART (HEARD + 2 * LEASE + 2)
+/* A renewal may come late, but only while the lease is live: twice its time. */
+#ifdef FAULT_SHORT_WAIT
+#define WAIT (CONFIRMED + LEASE)
+#else
+#define WAIT (CONFIRMED + 2 * LEASE)
+#endif
+#define PART (HEARD + 2 * LEASE)
 
 #define WORKERS 3
 #define OFF 255
@@ -59,7 +64,8 @@
 #define SUCCESSOR false
 #elif defined(CLEAN_TAKEN_OVER) || defined(FAULT_LEADER_UNCONFIRMED) || \
       defined(FAULT_NO_WAIT_AFTER_TAKEOVER) || defined(FAULT_ORPHAN_NOT_AWAITED) || \
-      defined(REACH_UNRECORDED_ATTEMPT) || defined(FAULT_NO_EPOCH)
+      defined(REACH_UNRECORDED_ATTEMPT) || defined(FAULT_NO_EPOCH) || \
+      defined(FAULT_SHORT_WAIT)
 #define REPEATABLE true
 #define RETRY false
 #define SUCCESSOR true
