Takeover case: the leader killed at each step from reserved to running

Change: testsuite/scheduler_takeover, four steps, repeatable and not. Conclusion: proved for one queue with 4 schedulers and 4 workers on loopback; a pause in place of a kill is the settings cases' matter.

--- /dev/null
+++ b/testsuite/scheduler_takeover/run.py
@@ -0,0 +1,156 @@
+"""The leader is killed at each step between reserving and running; its successor takes over.
+
+No job is lost, no two attempts of one job run at the same time, and a job that must not be repeated
+is started in one attempt at most.
+"""
+
+import pathlib
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+
+from harness import check, http_call, run_case, try_call, wait_until  # noqa: E402
+
+DOMAINS = ["d1", "d2"]
+MEMBERS = 4
+RUN_MS = 1500
+SLOW_MS = 300
+LEASE_TTL = "2s"
+ELECTION_SECONDS = 15
+
+
+def start(cluster):
+    cluster.start_standins()
+    cluster.start_workers(DOMAINS, 2, accelerators=4)
+    cluster.publish_hosts()
+    cluster.start_schedulers(4, DOMAINS, ("--balancer-lag", "0ms", "--lease-ttl", LEASE_TTL))
+    cluster.wait_ready()
+    cluster.set("/organisations/alpha", {"weight": 1})
+    cluster.set("/teams/alpha-one", {"organisation": "alpha"})
+    return f"{len(cluster.schedulers)} schedulers, {len(cluster.workers)} workers"
+
+
+def leader(cluster):
+    for scheduler in cluster.schedulers:
+        if not scheduler.is_running():
+            continue
+        answer = try_call(scheduler.address, "GET", "/v1/status",
+                          headers={"Briarwind-Forwarded": "1"}, timeout=1)
+        if answer is not None and answer.status == 200 and answer.json()["acting"]:
+            return scheduler
+    return None
+
+
+def slow(cluster, latency_ms):
+    for worker in cluster.workers:
+        http_call(worker.address, "POST", "/test/faults", {"latencyMs": latency_ms})
+
+
+def lease_states(cluster, job):
+    states = []
+    for worker in cluster.workers:
+        answer = try_call(worker.address, "GET", "/v1/leases", timeout=2)
+        leases = answer.json()["leases"] if answer else []
+        states += [lease["state"] for lease in leases if lease["job"] == job]
+    return states
+
+
+def submit(cluster, job, repeatable):
+    spec = {"id": job, "organisation": "alpha", "team": "alpha-one", "members": MEMBERS,
+            "shape": {"accelerators": 2, "cores": 4, "memoryMb": 1024}, "adjacency": "none",
+            "expectedMs": RUN_MS, "repeatable": repeatable, "command": "match"}
+    found = wait_until(lambda: leader(cluster), ELECTION_SECONDS, "a leader acts")
+    answer = http_call(found.address, "POST", "/v1/jobs", spec)
+    check(answer.status == 201, f"submission answered {answer.status}: {answer.body}")
+    return found
+
+
+def at_reserved(cluster, job):
+    return "reserved" in lease_states(cluster, job)
+
+
+def at_recorded(cluster, job):
+    found = cluster.job(job)
+    return found is not None and found["state"] == "attempted"
+
+
+def at_first_start(cluster, job):
+    return any(start["job"] == job for start in cluster.starts())
+
+
+def at_running(cluster, job):
+    return lease_states(cluster, job).count("running") == MEMBERS
+
+
+STEPS = [("reserved", at_reserved), ("recorded", at_recorded),
+         ("first start", at_first_start), ("running", at_running)]
+
+
+def attempts(cluster, job):
+    """Attempt number -> members started."""
+    found = {}
+    for each in cluster.starts():
+        if each["job"] == job:
+            found.setdefault(each["attempt"], []).append(each["member"])
+    return found
+
+
+def check_fate(cluster, job, repeatable):
+    state = cluster.job_state(job)
+    started = attempts(cluster, job)
+    for number, members in started.items():
+        check(len(members) == len(set(members)),
+              f"{job}: attempt {number} started a member twice: {members}")
+    if repeatable:
+        check(state == "finished", f"{job} ended as {state}")
+        check(sorted(started[max(started)]) == list(range(MEMBERS)),
+              f"{job}: the last attempt ran with {started[max(started)]}")
+    else:
+        check(state in ("finished", "unknown"), f"{job} ended as {state}")
+        check(len(started) <= 1, f"{job} must not be repeated and ran in {started}")
+    return f"{state} after {len(started)} attempt(s) that started"
+
+
+def kill_at(step, reached, repeatable):
+    def run(cluster):
+        job = f"{step.replace(' ', '-')}-{'twice' if repeatable else 'once'}"
+        slow(cluster, SLOW_MS)
+        acting = submit(cluster, job, repeatable)
+        wait_until(lambda: reached(cluster, job), 10, f"{job} is {step}", interval=0.01)
+        acting.kill()
+        slow(cluster, 0)
+        ends = ("finished", "unknown", "failed")
+        wait_until(lambda: cluster.job_state(job) in ends, 30,
+                   f"{job} ends, it is {cluster.job(job)}")
+        shown = check_fate(cluster, job, repeatable)
+        replace(cluster, acting)
+        return shown
+    return run
+
+
+def replace(cluster, killed):
+    """Starts a new process with the flags of the one that was killed."""
+    cluster.schedulers.remove(killed)
+    fresh = cluster.start("briarwind-scheduler", f"{killed.name}x{time.monotonic_ns()}",
+                          killed.arguments)
+    fresh.wait_listening()
+    fresh.wait_ready()
+    cluster.schedulers.append(fresh)
+
+
+def nothing_left(cluster):
+    def clean():
+        held = [lease for worker in cluster.workers
+                for lease in http_call(worker.address, "GET", "/v1/leases").json()["leases"]
+                if lease["state"] in ("reserved", "running")]
+        return not held
+    wait_until(clean, 10, "no worker holds a lease")
+    return "no lease is left at any worker"
+
+
+if __name__ == "__main__":
+    KILLS = [(f"killed when {name}, {'repeatable' if repeatable else 'not repeatable'}",
+              kill_at(name, reached, repeatable))
+             for name, reached in STEPS for repeatable in (True, False)]
+    sys.exit(run_case("takeover", [("start", start), *KILLS, ("afterwards", nothing_left)]))
