A successor and its predecessor: late records are adopted, renewals end with the leader

Cause 1: a record written by the old leader after the new one had read them made the new leader drop the job: it was lost until the next election. Cause 2: a leader cut off with some workers went on renewing their leases for as long as the cut lasted, while its successor counted them as lapsed: two attempts of one job would run. Change: a conflict with a lower epoch is taken over like a restored record, a cancellation stands; renewals and starts ask after the last wait whether the store's lease or, in an outage, a majority confirmed the leader within its time to live; a successor adds that time before it counts an unseen lease as lapsed.

--- a/src/libjobs/core_records.cpp
+++ b/src/libjobs/core_records.cpp
@@ -75,6 +75,12 @@
     }
     return;
   }
+  const bool ofPredecessor =
+    aEvent.mCurrent && aEvent.mCurrent->mEpoch < mEpoch && aEvent.mCurrent->mSpec == aJob.Spec();
+  if (ofPredecessor) {
+    TakeLateRecord(aJob, { *aEvent.mCurrent, aEvent.mRevision });
+    return;
+  }
   const bool other = aEvent.mCurrent && aEvent.mCurrent->mSpec != aJob.Spec();
   AnswerAll(aJob, other ? submission_outcome::kConflict : submission_outcome::kUnknown,
             other ? "the id belongs to another specification" : "another scheduler has the job");
@@ -82,6 +88,28 @@
   DropForeign(aJob);
 }
 
+/// The leader before us wrote after we had read. Workers that know our epoch refuse its starts, but
+/// one that we did not reach may have taken them, so an attempt we do not hold is taken over as
+/// after an election.
+void job_core::state::TakeLateRecord(job_entry& aJob, const restored_record& aLate)
+{
+  Note(decision_kind::kRecordConflict, aJob.Spec().mId, {}, {}, "written by the leader before");
+  const bool sameAttempt = aLate.mRecord.mAttempt == aJob.mRecord.mAttempt &&
+                           !IsFinal(aLate.mRecord.mState) && aJob.mPhase != job_phase::kRecording;
+  if (sameAttempt) {
+    aJob.mRevision = aLate.mRevision;
+    WriteRecord(aJob);
+    return;
+  }
+  AnswerAll(aJob, submission_outcome::kAccepted, "stored");
+  const bool cancelled = aJob.mRecord.mState == job_state::kCancelled;
+  DropForeign(aJob);
+  RestoreJob(aLate, {});
+  if (cancelled) {
+    On(job_cancelled{ aLate.mRecord.mSpec.mId });
+  }
+}
+
 /// Lets go of a job that another scheduler acts for. Reservations are given back; what runs is the
 /// other's to stop, and lapses when it does not renew.
 void job_core::state::DropForeign(job_entry& aJob)
--- a/src/libjobs/core_state.h
+++ b/src/libjobs/core_state.h
@@ -95,6 +95,7 @@
   void On(const record_finished& aEvent);
   void WriteRecord(job_entry& aJob);
   void Recorded(job_entry& aJob);
+  void TakeLateRecord(job_entry& aJob, const restored_record& aLate);
   void RecordConflict(job_entry& aJob, const record_finished& aEvent);
   void RecordInDoubt(job_entry& aJob);
   void DropForeign(job_entry& aJob);
--- a/src/libjobs/job_core_test.cpp
+++ b/src/libjobs/job_core_test.cpp
@@ -400,3 +400,47 @@
     BW_CHECK(!system.mPlatform.Core().Find("j"));
   }
 }
+
+BW_STORY("a predecessor writes a record after its successor has read it")
+{
+  acting_platform system(2);
+  job_spec spec = Job("j", 2);
+  // Its domain is out, so the successor finds it queued and does not write before the other does.
+  system.mSettings.mDomains["d0"] = { "d0", true, "" };
+  system.mPlatform.Send(settings_changed{ system.mSettings });
+  BW_SECTION("with an attempt that it can no longer start")
+  {
+    BW_SECTION("and the job is attempted again")
+    {
+      system.Submit(spec);
+    }
+    BW_SECTION("and the job is not lost though it must not be repeated")
+    {
+      spec.mRepeatable = false;
+      system.Submit(spec);
+    }
+    system.RunFor(seconds(1));
+    system.mPlatform.Restart(2, system.mSettings, system.mWorkers);
+    restored_record& stored = system.mPlatform.Store()["j"];
+    stored.mRecord.mState = job_state::kAttempted;
+    stored.mRecord.mAttempt = 1;
+    stored.mRecord.mEpoch = 1;
+    stored.mRecord.mChange = "1-late";
+    stored.mRecord.mPlacements = { { 0, "w0", "late-0" }, { 1, "w1", "late-1" } };
+    ++stored.mRevision;
+    job_state expected = spec.mRepeatable ? job_state::kFinished : job_state::kUnknown;
+    BW_SECTION("and a cancellation stands")
+    {
+      system.mPlatform.Send(job_cancelled{ "j" });
+      system.RunFor(seconds(1));
+      expected = job_state::kCancelled;
+    }
+    BW_SECTION("and nobody cancels") {}
+    system.mSettings.mDomains["d0"].mWithdrawn = false;
+    system.mPlatform.Send(settings_changed{ system.mSettings });
+    system.RunFor(seconds(40));
+    BW_CHECK(system.mPlatform.Core().Find("j").has_value());
+    BW_CHECK(system.StateOf("j") == expected);
+    BW_CHECK(system.mPlatform.Store()["j"].mRecord.mState == expected);
+  }
+}
--- a/src/scheduler/queue_leader.cpp
+++ b/src/scheduler/queue_leader.cpp
@@ -36,12 +36,13 @@
 
 queue_leader::queue_leader(config_store& aStore, scheduler_engine& aEngine,
                            const scheduler_options& aOptions, endpoint aSelf,
-                           job_list_observer aOnUnsaved)
+                           outage_confirmation aOutage, job_list_observer aOnUnsaved)
   : mStore(aStore)
   , mEngine(aEngine)
   , mTimeToLive(aOptions.mLeaderTimeToLive)
   , mName(aOptions.mName)
   , mSelf(std::move(aSelf))
+  , mOutage(std::move(aOutage))
   , mOnUnsaved(std::move(aOnUnsaved))
   , mRandom(std::random_device{}())
 {
@@ -103,6 +104,7 @@
     SleepFor(kRetryWait);
     return;
   }
+  const instant begun = monotonic_clock::now();
   const auto lease = mStore.GrantLease(LeaseSeconds(mTimeToLive), StoreDeadline());
   if (!lease) {
     SleepFor(kRetryWait);
@@ -119,49 +121,50 @@
   }
   mLease = lease.value();
   mEpoch = swapped.value().mRevision;
+  mStoreConfirmed = begun;
   mLeader = mSelf;
   mStale = false;
   LogEvent(kLeaderElected, { Field("epoch", mEpoch) });
 }
 
+bool queue_leader::IsConfirmed(instant aNow) const
+{
+  const instant byMajority = mOutage().value_or(mStoreConfirmed);
+  return IsLeader() && aNow - std::max(mStoreConfirmed, byMajority) <= mTimeToLive;
+}
+
 void queue_leader::Lead()
 {
-  instant confirmed = monotonic_clock::now();
   bool acting = false;
   while (IsLeader() && !mResigned) {
     acting = acting || mEngine.TakeOver(mEpoch);
-    if (Heartbeat()) {
-      confirmed = monotonic_clock::now();
-    }
-    const bool late = monotonic_clock::now() - confirmed > mTimeToLive;
+    Heartbeat();
     if (mStale) {
       StepDown("a worker has seen a higher epoch");
-    } else if (!acting && late) {
-      StepDown("no takeover while the lease lasted");
+    } else if (!IsConfirmed(monotonic_clock::now())) {
+      StepDown("neither the store nor a majority confirmed it in time");
     } else {
       SleepFor(mTimeToLive / 3);
     }
   }
 }
 
-// True when the store confirmed the lease.
-bool queue_leader::Heartbeat()
+void queue_leader::Heartbeat()
 {
+  const instant begun = monotonic_clock::now();
   const auto kept = mStore.KeepAlive(mLease, StoreDeadline());
   const bool reached = kept || kept.error().mKind == error_kind::kNotFound;
   if (mEngine.Core().Status().mStoreReachable != reached) {
     mEngine.Take(store_reachable{ reached });
   }
   if (kept) {
+    mStoreConfirmed = begun;
     mUnconfirmed = false;
-    return true;
-  }
-  if (kept.error().mKind == error_kind::kNotFound) {
+  } else if (reached) {
     StepDown(FlushUnsaved() ? "the lease lapsed" : "the lease lapsed with jobs not yet recorded");
   } else if (!std::exchange(mUnconfirmed, true)) {
     LogEvent(kLeaderUnconfirmed, { Field("why", kept.error().mWhat) });
   }
-  return false;
 }
 
 // After an outage the store no longer knows our lease, but the core may hold jobs and ends that it
--- a/src/scheduler/queue_leader.h
+++ b/src/scheduler/queue_leader.h
@@ -22,11 +22,13 @@
 {
 public:
   using job_list_observer = std::function<void(std::vector<job_spec>)>;
+  /// The last instant at which a majority of members confirmed that nobody reaches the store.
+  using outage_confirmation = std::function<std::optional<instant>()>;
 
   /// @param aSelf where this scheduler serves HTTP; others forward calls there
   /// @param aOnUnsaved gets the jobs that only this process knew of when it stepped down
   queue_leader(config_store& aStore, scheduler_engine& aEngine, const scheduler_options& aOptions,
-               endpoint aSelf, job_list_observer aOnUnsaved);
+               endpoint aSelf, outage_confirmation aOutage, job_list_observer aOnUnsaved);
 
   /// Runs until Resign; in a fiber of its own.
   void Run();
@@ -34,6 +36,8 @@
   void Resign();
 
   bool IsLeader() const { return mEpoch != 0; }
+  /// Whether no successor can have been elected up to this instant, as far as leases go.
+  bool IsConfirmed(instant aNow) const;
   epoch_number Epoch() const { return mEpoch; }
   /// The leader as last seen in the store; nothing while there is none.
   std::optional<endpoint> Leader() const { return mLeader; }
@@ -43,7 +47,7 @@
   void Compete();
   void Lead();
   void StepDown(const std::string& aReason);
-  bool Heartbeat();
+  void Heartbeat();
   bool FlushUnsaved();
   void See(const stored_value& aValue);
 
@@ -52,7 +56,9 @@
   milliseconds mTimeToLive;
   std::string mName;
   endpoint mSelf;
+  outage_confirmation mOutage;
   job_list_observer mOnUnsaved;
+  instant mStoreConfirmed{};
   std::mt19937_64 mRandom;
   store_lease mLease = 0;
   epoch_number mEpoch = 0;
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -45,14 +45,16 @@
     , mOptions(std::move(aOptions))
     , mStore(aRuntime, mOptions.mStores, mMetrics)
     , mEngine(aRuntime, mStore, mMetrics, mOptions,
-              [this](instant aNow) { return mNode.Check(aNow).IsFresh(); })
+              { [this](instant aNow) { return mNode.Check(aNow).IsFresh(); },
+                [this](instant aNow) { return mLeader.IsConfirmed(aNow); } })
     , mHosts(aRuntime, mOptions.mHostLists, mOptions.mHostPoll, mMetrics,
              [this](const host_list& aList) { mEngine.OnHosts(aList); })
     , mServer(aRuntime, mOptions.mListen,
               [this](const http_request& aRequest) { return mApi->Handle(aRequest); })
     , mNode(aRuntime, mStore, mMetrics, NodeOptions(mOptions, mServer.Listening()))
-    , mLeader(mStore, mEngine, mOptions, mServer.Listening(),
-              [this](std::vector<job_spec> aSpecs) { ResubmitAll(std::move(aSpecs)); })
+    , mLeader(
+        mStore, mEngine, mOptions, mServer.Listening(), [this] { return OutageConfirmed(); },
+        [this](std::vector<job_spec> aSpecs) { ResubmitAll(std::move(aSpecs)); })
   {
     mApi = std::make_unique<scheduler_api>(
       aRuntime, scheduler_api_context{ &mEngine, &mLeader, &mMetrics, mOptions.mName,
@@ -93,6 +95,17 @@
     }
   }
 
+  // A view that a peer confirmed does not count: that peer reads the store, so there may be a new
+  // leader that only this process does not see.
+  std::optional<instant> OutageConfirmed() const
+  {
+    const freshness_check check = mNode.Check(monotonic_clock::now());
+    if (!check.IsFresh() || check.mSource != confirmation_source::kMajority) {
+      return std::nullopt;
+    }
+    return check.mUntil - kFreshnessBound;
+  }
+
   void ResubmitAll(std::vector<job_spec> aSpecs)
   {
     mRuntime.Spawn([this, specs = std::move(aSpecs)] {
--- a/src/scheduler/scheduler_engine.cpp
+++ b/src/scheduler/scheduler_engine.cpp
@@ -31,6 +31,8 @@
   options.mLeaseTimeToLive = aOptions.mLeaseTimeToLive;
   options.mRenewEvery = std::min(options.mRenewEvery, aOptions.mLeaseTimeToLive / 3);
   options.mCheckpointBound = aOptions.mCheckpointBound;
+  // A leader that was replaced may renew until its own time to live is over.
+  options.mLapseMargin += aOptions.mLeaderTimeToLive;
   return options;
 }
 
@@ -64,12 +66,12 @@
 } // namespace
 
 scheduler_engine::scheduler_engine(fiber_runtime& aRuntime, config_store& aStore, metrics& aMetrics,
-                                   const scheduler_options& aOptions, start_permission aMayStart)
+                                   const scheduler_options& aOptions, send_permissions aPermissions)
   : mRuntime(aRuntime)
   , mStore(aStore)
   , mMetrics(aMetrics)
   , mOptions(aOptions)
-  , mMayStart(std::move(aMayStart))
+  , mPermissions(std::move(aPermissions))
   , mWorkers(aRuntime, aMetrics,
              [this] {
                if (mOnStaleEpoch) {
@@ -195,7 +197,8 @@
     return;
   }
   mRuntime.Spawn([this, aAction, address = found->second.mAddress, epoch = mEpoch] {
-    const std::optional<lease_report> report = mWorkers.Renew(address, aAction);
+    const std::optional<lease_report> report =
+      mWorkers.Renew(address, aAction, [&] { return MayRenew(epoch); });
     if (epoch != mEpoch) {
       return;
     }
@@ -236,7 +239,8 @@
 bool scheduler_engine::MayStart(const start_lease& aAction)
 {
   const instant now = monotonic_clock::now();
-  const bool permitted = now <= aAction.mNotAfter && aAction.mEpoch == mEpoch && mMayStart(now);
+  const bool permitted = now <= aAction.mNotAfter && aAction.mEpoch == mEpoch &&
+                         mPermissions.mLeaderConfirmed(now) && mPermissions.mSettingsConfirmed(now);
   if (!permitted) {
     mMetrics.Count(kStartsHeldBack);
     LogEvent(kStartHeldBack,
@@ -245,6 +249,13 @@
   return permitted;
 }
 
+// A successor waits for leases to lapse that it cannot ask about, counting on this: nobody renews
+// them once the leader's own time to live is over.
+bool scheduler_engine::MayRenew(epoch_number aEpoch) const
+{
+  return aEpoch == mEpoch && mPermissions.mLeaderConfirmed(monotonic_clock::now());
+}
+
 void scheduler_engine::WriteRecord(const record_job& aAction)
 {
   const epoch_number epoch = mEpoch;
@@ -312,7 +323,8 @@
   contact& entry = mContacts.at(aWorker);
   entry.mAsking = true;
   mRuntime.Spawn([this, aWorker, address = entry.mAddress, epoch = mEpoch] {
-    const auto report = mWorkers.Renew(address, { aWorker, epoch, milliseconds(0), {} });
+    const auto report = mWorkers.Renew(address, { aWorker, epoch, milliseconds(0), {} },
+                                       [&] { return MayRenew(epoch); });
     const auto found = mContacts.find(aWorker);
     if (found != mContacts.end()) {
       found->second.mAsking = false;
@@ -372,7 +384,8 @@
     answers.push_back(answered->get_future());
     mRuntime.Spawn([this, answered, aEpoch, name = name, address = entry.mAddress] {
       std::optional<worker_listing> listing;
-      if (mWorkers.Renew(address, { name, aEpoch, milliseconds(0), {} })) {
+      if (mWorkers.Renew(address, { name, aEpoch, milliseconds(0), {} },
+                         [&] { return MayRenew(aEpoch); })) {
         listing = mWorkers.List(address, name);
       }
       answered->set_value(std::move(listing));
--- a/src/scheduler/scheduler_engine.h
+++ b/src/scheduler/scheduler_engine.h
@@ -19,15 +19,19 @@
 
 namespace briarwind {
 
-/// Whether a start may be sent at this instant.
-using start_permission = std::function<bool(instant)>;
+/// What has to hold at the instant at which something is sent to a worker.
+struct send_permissions
+{
+  std::function<bool(instant)> mSettingsConfirmed; ///< for starts
+  std::function<bool(instant)> mLeaderConfirmed;   ///< for starts and renewals
+};
 
 /// Feeds the core with events and carries its actions out: calls to workers, writes of job records.
 class scheduler_engine
 {
 public:
   scheduler_engine(fiber_runtime& aRuntime, config_store& aStore, metrics& aMetrics,
-                   const scheduler_options& aOptions, start_permission aMayStart);
+                   const scheduler_options& aOptions, send_permissions aPermissions);
 
   /// Hands an event to the core and begins what it decides. Never suspends.
   void Take(const event& aEvent);
@@ -79,6 +83,7 @@
   void AskWorker(const std::string& aWorker, Call aCall);
   void WriteRecord(const record_job& aAction);
   bool MayStart(const start_lease& aAction);
+  bool MayRenew(epoch_number aEpoch) const;
   void Ask(const std::string& aWorker);
   void NoteAnswer(const std::string& aWorker);
   void NoteSilence(const std::string& aWorker);
@@ -90,7 +95,7 @@
   config_store& mStore;
   metrics& mMetrics;
   scheduler_options mOptions;
-  start_permission mMayStart;
+  send_permissions mPermissions;
   std::function<void()> mOnStaleEpoch;
   worker_client mWorkers;
   job_core mCore;
--- a/src/scheduler/worker_client.cpp
+++ b/src/scheduler/worker_client.cpp
@@ -225,7 +225,8 @@
 }
 
 std::optional<lease_report> worker_client::Renew(const endpoint& aWorker,
-                                                 const renew_leases& aAction)
+                                                 const renew_leases& aAction,
+                                                 const http_pool::send_check& aMaySend)
 {
   json::array leases;
   std::ranges::transform(aAction.mLeases, std::back_inserter(leases), [&](const lease_id& aLease) {
@@ -233,7 +234,7 @@
   });
   const json::object body{ { "epoch", aAction.mEpoch }, { "leases", std::move(leases) } };
   const auto answer =
-    Post(aWorker, { "renew", "/v1/renewals", json::serialize(body), kCallTimeout });
+    Post(aWorker, { "renew", "/v1/renewals", json::serialize(body), kCallTimeout }, aMaySend);
   if (!answer) {
     return std::nullopt;
   }
--- a/src/scheduler/worker_client.h
+++ b/src/scheduler/worker_client.h
@@ -27,7 +27,8 @@
   stop_finished Release(const endpoint& aWorker, const release_lease& aAction);
   void Forget(const endpoint& aWorker, const forget_lease& aAction);
   /// Also works without leases: it tells the worker our epoch and shows that it answers.
-  std::optional<lease_report> Renew(const endpoint& aWorker, const renew_leases& aAction);
+  std::optional<lease_report> Renew(const endpoint& aWorker, const renew_leases& aAction,
+                                    const http_pool::send_check& aMaySend);
   std::optional<worker_listing> List(const endpoint& aWorker, const std::string& aName);
 
 private:
