--- /dev/null
+++ b/testsuite/settings_older_store/run.py
@@ -0,0 +1,47 @@
+#!/usr/bin/env python3
+"""The store comes back with an older copy, revision and all."""
+
+import pathlib
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+import harness
+from harness import check, wait_until
+import settings_cases as cases
+
+
+def restore_after_withdrawal(cluster):
+    harness.http_call(cluster.store.address, "POST", "/test/snapshot", {})
+    with cases.JobStream(cluster):
+        cases.wait_starts(cluster, 15, "d1")
+        cluster.ctl_done("--wait", "withdraw", "d1")
+        accepted = time.time()
+        held = [cases.in_force(s)["revision"] for s in cluster.schedulers]
+        harness.http_call(cluster.store.address, "POST", "/test/restore", {})
+        check("/domains/d1" not in cluster.ctl_done("get", "/"), "the store has lost it")
+        time.sleep(2 * cases.START_BOUND_SECONDS)
+        after = [cases.in_force(s)["revision"] for s in cluster.schedulers]
+        check(after == held, f"in force {held}, then {after}")
+        cases.check_no_start(cluster, "d1", accepted)
+    not_fresh = [s.name for s in cluster.schedulers if not cases.is_fresh(s)]
+    check(not not_fresh, f"not fresh after the restore: {not_fresh}")
+    return f"revision {held[0]} stays in force at all, no later start in d1"
+
+
+def start_new_member(cluster):
+    cluster.links.append(cluster.ports.pick())
+    cluster.ways.append(cases.Way(cluster.store.address))
+    new = cases.start_scheduler(cluster, len(cluster.links) - 1)
+    cluster.schedulers.append(new)
+    held = cases.in_force(cluster.schedulers[0])["revision"]
+    wait_until(lambda: cases.in_force(new).get("revision") == held, 7,
+               "the new member takes the withdrawal from its peers")
+    return "a member that starts now holds the withdrawal too"
+
+if __name__ == "__main__":
+    sys.exit(harness.run_case("settings_older_store", [
+    ("schedulers start", cases.start_schedulers),
+    ("older copy", restore_after_withdrawal),
+    ("a new member", start_new_member),
+]))
