--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -4,11 +4,14 @@
 #include "caller_request.h"
 #include "request_broker.h"
 #include "router_events.h"
+#include "router_group.h"
 
 #include "briarwind/http_server.h"
 #include "briarwind/log.h"
 #include "briarwind/metrics.h"
 #include "briarwind/routing_core.h"
+#include "briarwind/settings_node.h"
+#include "briarwind/store_client.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -25,11 +28,47 @@
 
 constexpr milliseconds kTickEvery{ 5 };
 constexpr seconds kTrimEvery{ 1 };
+constexpr milliseconds kLeaveTime{ 500 };
 
-routing_options CoreOptions(const router_options& aOptions)
+settings_node_options NodeOptions(const router_options& aOptions, const endpoint& aListening)
+{
+  settings_node_options options;
+  options.mSelf.mKind = member_kind::kRouter;
+  options.mSelf.mHttp = aListening;
+  options.mSelf.mPeer = aOptions.mPeerListen;
+  options.mSelf.mDomain = aOptions.mDomain;
+  options.mPeers = aOptions.mPeers;
+  options.mSeed = std::random_device()();
+  return options;
+}
+
+/// The settings from the store and the other members, for a router that has a store.
+struct store_side
+{
+  store_side(fiber_runtime& aRuntime, metrics& aMetrics, const router_options& aOptions,
+             const endpoint& aListening)
+    : mStore(aRuntime, aOptions.mStores, aMetrics)
+    , mNode(aRuntime, mStore, aMetrics, NodeOptions(aOptions, aListening))
+  {
+  }
+
+  etcd_store mStore;
+  settings_node mNode;
+};
+
+std::unique_ptr<store_side> MakeStoreSide(fiber_runtime& aRuntime, metrics& aMetrics,
+                                          const router_options& aOptions,
+                                          const endpoint& aListening)
+{
+  return aOptions.mStores.empty()
+           ? nullptr
+           : std::make_unique<store_side>(aRuntime, aMetrics, aOptions, aListening);
+}
+
+routing_options CoreOptions(const router_options& aOptions, const endpoint& aSelf)
 {
   routing_options options;
-  options.mSelf = ToString(aOptions.mPeerListen);
+  options.mSelf = ToString(aSelf);
   options.mDomain = aOptions.mDomain;
   options.mRelease = aOptions.mReleaseTime;
   options.mQueued = static_cast<std::size_t>(aOptions.mQueue);
@@ -44,15 +83,6 @@
   return limits;
 }
 
-member_view FixedMembers(const router_options& aOptions)
-{
-  member_view view{ 1, { ToString(aOptions.mPeerListen) } };
-  for (const endpoint& each : aOptions.mPeers) {
-    view.mMembers.push_back(ToString(each));
-  }
-  return view;
-}
-
 http_response Text(unsigned aStatus, std::string aBody)
 {
   http_response response;
@@ -92,19 +122,49 @@
   state(fiber_runtime& aRuntime, router_options aOptions)
     : mRuntime(aRuntime)
     , mOptions(std::move(aOptions))
-    , mCore(CoreOptions(mOptions), MakeTwoChoice())
+    , mServer(aRuntime, mOptions.mListen,
+              [this](const http_request& aRequest) { return Answer(aRequest); })
+    , mStoreSide(MakeStoreSide(aRuntime, mMetrics, mOptions, mServer.Listening()))
+    , mSelf(mStoreSide ? mStoreSide->mNode.Self().mPeer : mOptions.mPeerListen)
+    , mCore(CoreOptions(mOptions, mSelf), MakeTwoChoice())
+    , mGroup(aRuntime, mOptions, mSelf, mCore)
     , mBroker(aRuntime, mCore, mMetrics, BrokerLimits(mOptions))
     , mHosts(aRuntime, mOptions.mHostLists, mOptions.mHostPoll, mMetrics,
              [this](const host_list& aList) { TakeHosts(aList); })
-    , mServer(aRuntime, mOptions.mListen,
-              [this](const http_request& aRequest) { return Answer(aRequest); })
   {
-    mCore.Shares().AdoptFixed(FixedMembers(mOptions));
     mServer.OnRefusal([this](http_server_refusal aRefusal) {
       mMetrics.Count(meters::kCallerRefusals, ToString(aRefusal));
     });
   }
 
+  void Start()
+  {
+    if (mStoreSide) {
+      mStoreSide->mNode.OnChange([this] { TakeSettings(); });
+      mStoreSide->mNode.Start();
+    }
+    mRuntime.Spawn([this] { mHosts.Run(); });
+    mRuntime.Spawn([this] { TickForever(); });
+  }
+
+  void TakeSettings()
+  {
+    mCore.SetSettings(*mStoreSide->mNode.View(), monotonic_clock::now());
+    mBroker.Pump();
+    mBroker.TrimConnections();
+  }
+
+  void TakeMembers(instant aNow)
+  {
+    if (!mStoreSide) {
+      return;
+    }
+    const freshness_check check = mStoreSide->mNode.Check(aNow);
+    if (check.IsFresh() && check.mSource == confirmation_source::kStore) {
+      mGroup.OnMembers(mStoreSide->mNode.Members(), aNow);
+    }
+  }
+
   void TakeHosts(const host_list& aList)
   {
     mHasHosts = true;
@@ -113,7 +173,7 @@
     mBroker.TrimConnections();
   }
 
-  bool IsReady() const { return !mStopping && mHasHosts; }
+  bool IsReady() const { return !mStopping && mHasHosts && mGroup.IsReady(); }
 
   http_response Answer(const http_request& aRequest)
   {
@@ -127,6 +187,7 @@
       page{ "/healthz", &state::Health },
       page{ "/readyz", &state::Readiness },
       page{ "/metrics", &state::MetricsPage },
+      page{ "/v1/inforce", &state::InForce },
     };
     const std::string_view path = TargetPath(aRequest.mTarget);
     const auto* own = std::ranges::find(kPages, path, &page::mPath);
@@ -137,7 +198,16 @@
 
   http_response Readiness()
   {
-    return IsReady() ? Text(200, "ready\n") : Text(503, mStopping ? "stopping\n" : "no hosts\n");
+    if (IsReady()) {
+      return Text(200, "ready\n");
+    }
+    return Text(503, mStopping ? "stopping\n" : mHasHosts ? "no share yet\n" : "no hosts\n");
+  }
+
+  http_response InForce()
+  {
+    return mStoreSide ? mStoreSide->mNode.InForce()
+                      : JsonResponse(200, R"({"member":"","revision":0})");
   }
 
   http_response MetricsPage()
@@ -159,12 +229,30 @@
       return Finish(FindingsResponse(TraitsOf(reason::kBadHeader).mStatus, wrong),
                     reason::kBadHeader, caller, begun);
     }
-    routed_answer answer = mBroker.Route(caller, aRequest, begun + caller.mWait);
+    routed_answer answer = caller.mKey.empty()
+                             ? mBroker.Route(caller, aRequest, begun + caller.mWait)
+                             : RouteOnce(caller, aRequest, begun + caller.mWait);
     const reason_traits& traits = TraitsOf(answer.mReason);
     http_response response = answer.mResponse ? std::move(*answer.mResponse) : OwnResponse(traits);
     return Finish(std::move(response), answer.mReason, caller, begun);
   }
 
+  /// Routes a request with an idempotency key: the key is claimed before anything is sent.
+  routed_answer RouteOnce(const caller_request& aCaller, const http_request& aRequest,
+                          instant aDeadline)
+  {
+    const key_digest key = DigestKey(aCaller.mOrganisation, aCaller.mKey);
+    const claim_owner owner = mGroup.NewOwner();
+    if (const auto refused = mGroup.Claims().Claim(key, owner, aDeadline)) {
+      return { *refused, std::nullopt };
+    }
+    routed_answer answer = mBroker.Route(aCaller, aRequest, aDeadline);
+    if (TraitsOf(answer.mReason).mOutcome == outcome::kNotRun) {
+      mGroup.Claims().Withdraw(key, owner);
+    }
+    return answer;
+  }
+
   http_response Finish(http_response aResponse, reason aReason, const caller_request& aCaller,
                        instant aBegun)
   {
@@ -186,6 +274,8 @@
     while (true) {
       SleepFor(kTickEvery);
       mBroker.Tick();
+      TakeMembers(monotonic_clock::now());
+      mGroup.Step(monotonic_clock::now());
       if (monotonic_clock::now() >= trimAt) {
         mBroker.TrimConnections();
         trimAt += kTrimEvery;
@@ -203,6 +293,9 @@
       LogEvent(events::kRouterCutRequests, { Field("inFlight", mServer.InFlight()) });
       return 1;
     }
+    if (mStoreSide) {
+      mStoreSide->mNode.Leave(monotonic_clock::now() + kLeaveTime);
+    }
     LogEvent(events::kRouterStopped);
     return 0;
   }
@@ -210,12 +303,15 @@
   fiber_runtime& mRuntime;
   router_options mOptions;
   metrics mMetrics;
+  bool mHasHosts = false;
+  bool mStopping = false;
+  http_server mServer; // answers nothing before the members below are there: no fiber runs yet
+  std::unique_ptr<store_side> mStoreSide;
+  endpoint mSelf; // this router among the members
   routing_core mCore;
+  router_group mGroup;
   request_broker mBroker;
   host_poller mHosts;
-  bool mHasHosts = false;
-  bool mStopping = false;
-  http_server mServer;
 };
 
 router::router(fiber_runtime& aRuntime, router_options aOptions)
@@ -227,8 +323,7 @@
 
 int router::Run()
 {
-  mState->mRuntime.Spawn([this] { mState->mHosts.Run(); });
-  mState->mRuntime.Spawn([this] { mState->TickForever(); });
+  mState->Start();
   LogEvent(events::kRouterStarted,
            { Field("listen", ToString(mState->mServer.Listening())),
              Field("name", mState->mOptions.mName), Field("domain", mState->mOptions.mDomain) });
