--- a/src/bench/benchmark.h
+++ b/src/bench/benchmark.h
@@ -19,4 +19,7 @@
 /// Jobs under a policy against its baselines, on a virtual clock.
 int RunPolicyBenchmark(std::vector<std::string> aArguments);
 
+/// Rules for starting tasks against each other in outages and cuts, on a virtual clock.
+int RunFreshnessBenchmark(std::vector<std::string> aArguments);
+
 } // namespace briarwind::bench
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -9,6 +9,8 @@
 
 constexpr briarwind::bench::benchmark kBenchmarks[] = {
   { "policy", "jobs under a policy against its baselines", briarwind::bench::RunPolicyBenchmark },
+  { "freshness", "rules for starting tasks in outages and cuts",
+    briarwind::bench::RunFreshnessBenchmark },
 };
 
 constexpr int kUsageExit = 2;
--- a/src/ctl/in_force.cpp
+++ b/src/ctl/in_force.cpp
@@ -137,7 +137,7 @@
   std::ranges::copy_if(mAnswers, std::back_inserter(without), [&](const member_answer& aAnswer) {
     const bool isLive =
       !mHasMembers || std::ranges::find(mLive, aAnswer.mMember.mId, &member::mId) != mLive.end();
-    return isLive && !(aAnswer.mReport && aAnswer.mReport->mHeld >= aRevision);
+    return isLive && !Holds(aAnswer.mMember, aRevision);
   });
   return without;
 }
--- a/src/ctl/settings_commands.cpp
+++ b/src/ctl/settings_commands.cpp
@@ -19,7 +19,8 @@
 namespace {
 
 constexpr milliseconds kReadTime{ 3'000 };
-constexpr milliseconds kPollInterval{ 50 };
+constexpr milliseconds kFirstPoll{ 2 };
+constexpr milliseconds kLongestPoll{ 200 };
 constexpr milliseconds kFirstWait{ 50 };
 constexpr milliseconds kLongestWait{ 1'000 };
 
@@ -84,32 +85,65 @@
   aBody["notInForceAt"] = std::move(names);
 }
 
+std::int64_t MicrosecondsSince(instant aBegun)
+{
+  return std::chrono::duration_cast<microseconds>(monotonic_clock::now() - aBegun).count();
+}
+
+// How far a stored change has come.
+struct force_progress
+{
+  bool mIsAccepted = false;
+  bool mIsEverywhere = false;
+};
+
+void NoteProgress(json::object& aBody, force_progress& aProgress, const in_force_poll& aPoll,
+                  store_revision aRevision, instant aStored)
+{
+  if (!aProgress.mIsAccepted && aPoll.IsAccepted(aRevision)) {
+    aProgress.mIsAccepted = true;
+    aBody["acceptedAfterUs"] = MicrosecondsSince(aStored);
+  }
+  aProgress.mIsEverywhere = aPoll.HasMembers() && aPoll.Without(aRevision).empty();
+  if (aProgress.mIsAccepted && aProgress.mIsEverywhere) {
+    aBody["everywhereAfterUs"] = MicrosecondsSince(aStored);
+  }
+}
+
+ctl_result NotInForce(json::object aBody, const in_force_poll& aPoll, store_revision aRevision,
+                      bool aIsAccepted)
+{
+  aBody["state"] =
+    aIsAccepted ? "accepted, not yet in force everywhere" : "stored, not yet in force";
+  if (aPoll.Record().mMembers.empty()) {
+    aBody["why"] = "no scheduler has joined the member record";
+  }
+  AddWithout(aBody, aPoll.Without(aRevision));
+  return { ctl_status::kNotInForce, std::move(aBody) };
+}
+
 // Waits until a majority of the record holds the change, and with --wait until all live members do.
 ctl_result AwaitForce(ctl_context& aContext, json::object aBody, store_revision aRevision,
                       instant aDeadline)
 {
+  const instant stored = monotonic_clock::now();
   in_force_poll poll(aContext);
+  force_progress progress;
+  duration wait = kFirstPoll;
   for (;;) {
     const instant pollEnds = std::min(aDeadline, monotonic_clock::now() + kReadTime);
     poll.ReadMembers(pollEnds);
     poll.AskAll(pollEnds);
-    const bool isAccepted = poll.IsAccepted(aRevision);
-    const std::vector<member_answer> without = poll.Without(aRevision);
-    const bool isEverywhere = poll.HasMembers() && without.empty();
-    if (isAccepted && (isEverywhere || !aContext.mOptions.mWait)) {
-      aBody["state"] = isEverywhere ? "in force everywhere" : "accepted";
+    NoteProgress(aBody, progress, poll, aRevision, stored);
+    if (progress.mIsAccepted && (progress.mIsEverywhere || !aContext.mOptions.mWait)) {
+      aBody["state"] = progress.mIsEverywhere ? "in force everywhere" : "accepted";
       return { ctl_status::kDone, std::move(aBody) };
     }
-    if (monotonic_clock::now() + kPollInterval >= aDeadline) {
-      aBody["state"] =
-        isAccepted ? "accepted, not yet in force everywhere" : "stored, not yet in force";
-      if (poll.Record().mMembers.empty()) {
-        aBody["why"] = "no scheduler has joined the member record";
-      }
-      AddWithout(aBody, without);
-      return { ctl_status::kNotInForce, std::move(aBody) };
+    if (monotonic_clock::now() + wait >= aDeadline) {
+      return NotInForce(std::move(aBody), poll, aRevision, progress.mIsAccepted);
     }
-    SleepFor(kPollInterval);
+    SleepFor(wait);
+    wait = std::min<duration>(kLongestPoll, wait * 2);
   }
 }
 
