--- a/src/bench/benchmark.h
+++ b/src/bench/benchmark.h
@@ -21,5 +21,7 @@
 
 /// Rules for starting tasks against each other in outages and cuts, on a virtual clock.
 int RunFreshnessBenchmark(std::vector<std::string> aArguments);
+/// Choice of instances under faults and overload, on a virtual clock.
+int RunRoutingBenchmark(std::vector<std::string> aArguments);
 
 } // namespace briarwind::bench
