Harness: ports below the range of outgoing connections

Cause: whole path failed once with 'address in use': a port picked by binding to 0 lies in the kernel's range for outgoing connections and can be taken before the program starts. Change: ports from 10000 to 32000, checked by binding.

--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -48,20 +48,35 @@
 
 
 class PortPicker:
-    """Hands out free ports of loopback, each once."""
+    """Hands out free ports of loopback, each once.
+
+    They lie below the range that the kernel picks from for outgoing connections: one of those could
+    take a port between this check and the program's start.
+    """
+
+    LOWEST = 10000
+    HIGHEST = 32000
 
     def __init__(self):
         self._given = set()
+        self._random = random.Random(os.getpid())
 
     def pick(self):
         while True:
-            with socket.socket() as probe:
-                probe.bind((LOOPBACK, 0))
-                port = probe.getsockname()[1]
-            if port not in self._given:
+            port = self._random.randint(self.LOWEST, self.HIGHEST)
+            if port not in self._given and self._is_free(port):
                 self._given.add(port)
                 return f"{LOOPBACK}:{port}"
 
+    @staticmethod
+    def _is_free(port):
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                return False
+            return True
+
 
 class Answer:
     """What an HTTP call was answered with."""
