--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -184,10 +184,9 @@
       own_page mAnswer;
     };
     static constexpr std::array kPages{
-      page{ "/healthz", &state::Health },
-      page{ "/readyz", &state::Readiness },
-      page{ "/metrics", &state::MetricsPage },
-      page{ "/v1/inforce", &state::InForce },
+      page{ "/healthz", &state::Health },      page{ "/readyz", &state::Readiness },
+      page{ "/metrics", &state::MetricsPage }, page{ "/v1/inforce", &state::InForce },
+      page{ kLinkPage, &state::Link },
     };
     const std::string_view path = TargetPath(aRequest.mTarget);
     const auto* own = std::ranges::find(kPages, path, &page::mPath);
@@ -210,6 +209,8 @@
                       : JsonResponse(200, R"({"member":"","revision":0})");
   }
 
+  http_response Link() { return Text(200, std::to_string(mGroup.LinkPort())); }
+
   http_response MetricsPage()
   {
     mMetrics.Set(meters::kQueued, static_cast<double>(mCore.Queued()));
--- a/src/router/router_group.cpp
+++ b/src/router/router_group.cpp
@@ -2,7 +2,10 @@
 
 #include "router_events.h"
 
+#include "briarwind/http_client.h"
+
 #include <algorithm>
+#include <charconv>
 #include <iterator>
 #include <utility>
 
@@ -15,6 +18,7 @@
 constexpr milliseconds kTellEvery{ 1'000 };
 // With many members each one tells the others less often, so that the traffic grows slower.
 constexpr milliseconds kTellPerMember{ 50 };
+constexpr milliseconds kLookupTimeout{ 300 };
 constexpr int kReportsMissed = 3; // a router that was not heard for so many intervals is away
 constexpr int kBoundPart = 4;     // of the release time: how long a confirmation counts
 
@@ -52,7 +56,8 @@
     mLink.emplace(
       aRuntime, aSelf,
       router_link::handlers{ [this](const router_report& aReport) { OnReport(aReport); },
-                             [this](const claim_request& aRequest) { return OnClaim(aRequest); } });
+                             [this](const claim_request& aRequest) { return OnClaim(aRequest); } },
+      [this](const std::string& aMember) { return FindLink(aMember); });
   }
   if (!mHasStore) {
     mCore.Shares().AdoptFixed({ ++mViews, mListedPeers });
@@ -66,6 +71,7 @@
   for (const member& each : aMembers) {
     if (each.mKind == member_kind::kRouter) {
       names.push_back(ToString(each.mPeer));
+      mHttp[names.back()] = each.mHttp;
     }
   }
   std::ranges::sort(names);
@@ -81,6 +87,29 @@
   }
 }
 
+std::uint16_t router_group::LinkPort() const
+{
+  return mLink ? mLink->Listening().mPort : 0;
+}
+
+endpoint router_group::FindLink(const std::string& aMember)
+{
+  endpoint link = UsualLinkAddress(aMember);
+  const auto http = mHttp.find(aMember);
+  if (http == mHttp.end()) {
+    return link;
+  }
+  http_request request;
+  request.mTarget = kLinkPage;
+  const auto answer =
+    HttpCall(mRuntime, http->second, request, monotonic_clock::now() + kLookupTimeout);
+  if (answer && answer.value().mStatus == 200) {
+    const std::string& text = answer.value().mBody;
+    std::from_chars(text.data(), text.data() + text.size(), link.mPort);
+  }
+  return link;
+}
+
 void router_group::UseListedPeers(instant aNow)
 {
   // The store could not be read since the start: the peers given by flag stand in for the list.
--- a/src/router/router_group.h
+++ b/src/router/router_group.h
@@ -7,12 +7,17 @@
 #include "briarwind/member.h"
 #include "briarwind/routing_core.h"
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
 
 namespace briarwind {
 
+/// The page that tells another router, in plain digits, where the link listens.
+inline constexpr const char* kLinkPage = "/v1/link";
+
 /// This router among the others: the members that share the instances, what the routers tell each
 /// other, and the claims of idempotency keys.
 class router_group
@@ -30,10 +35,14 @@
   /// Whether this router may use its share of the instances.
   bool IsReady() const;
 
+  /// Port of the link to the other routers; 0 when there is none. Served at kLinkPage.
+  std::uint16_t LinkPort() const;
+
   claim_owner NewOwner();
   key_claimer& Claims() { return mClaimer; }
 
 private:
+  endpoint FindLink(const std::string& aMember);
   void OnReport(const router_report& aReport);
   claim_verdict OnClaim(const claim_request& aRequest);
   void UseListedPeers(instant aNow);
@@ -50,6 +59,7 @@
   bool mHasStore;
   claim_table mTable;
   std::optional<router_link> mLink;
+  std::map<std::string, endpoint> mHttp; ///< where the other routers serve HTTP
   key_claimer mClaimer;
   std::mt19937_64 mRandom;
   instant mStarted;
--- a/src/router/router_link.cpp
+++ b/src/router/router_link.cpp
@@ -5,7 +5,8 @@
 #include "libnet/peer_nng.h"
 
 #include <map>
-#include <optional>
+#include <memory>
+#include <system_error>
 #include <utility>
 
 namespace briarwind {
@@ -15,22 +16,46 @@
 constexpr milliseconds kTellTimeout{ 500 };
 constexpr std::size_t kRequestsAtOnce = 64;
 
-endpoint LinkAddress(endpoint aPeer)
+constexpr int kPortsToTry = 16;
+
+using listener = std::unique_ptr<nng_listener_socket>;
+
+listener ListenAfter(fiber_runtime& aRuntime, endpoint aPeer,
+                     const nng_listener_socket::handler& aHandler)
 {
-  ++aPeer.mPort;
-  return aPeer;
+  for (int attempt = 1;; ++attempt) {
+    ++aPeer.mPort;
+    try {
+      return std::make_unique<nng_listener_socket>(aRuntime, aPeer, kRequestsAtOnce, aHandler);
+    } catch (const std::system_error&) {
+      if (attempt == kPortsToTry) {
+        throw;
+      }
+    }
+  }
 }
 
 } // namespace
 
+endpoint UsualLinkAddress(const std::string& aMember)
+{
+  auto address = Settle([&] { return ParseEndpoint(aMember); });
+  if (!address) {
+    return {};
+  }
+  ++address.value().mPort;
+  return address.value();
+}
+
 // Shared with the fibers of requests under way.
 struct router_link::state
 {
-  state(fiber_runtime& aRuntime, const endpoint& aSelf, handlers aHandlers)
+  state(fiber_runtime& aRuntime, const endpoint& aSelf, handlers aHandlers, resolve_call aResolve)
     : mRuntime(aRuntime)
     , mHandlers(std::move(aHandlers))
-    , mListener(aRuntime, LinkAddress(aSelf), kRequestsAtOnce,
-                [this](const std::string& aBytes) { return Answer(aBytes); })
+    , mResolve(std::move(aResolve))
+    , mListener(
+        ListenAfter(aRuntime, aSelf, [this](const std::string& aBytes) { return Answer(aBytes); }))
   {
   }
 
@@ -50,31 +75,39 @@
   io_result<std::string> Exchange(const std::string& aMember, const std::string& aBytes,
                                   instant aDeadline)
   {
-    const auto address = Settle([&] { return ParseEndpoint(aMember); });
-    if (!address) {
-      return boost::outcome_v2::failure(address.error());
-    }
-    auto& peer = mPeers[aMember];
+    std::shared_ptr<nng_peer> peer = mPeers[aMember];
     if (!peer) {
-      peer = std::make_shared<nng_peer>(mRuntime, LinkAddress(address.value()));
+      peer = std::make_shared<nng_peer>(mRuntime, mResolve(aMember));
+      mPeers[aMember] = peer;
+    }
+    auto answer = peer->Exchange(aBytes, aDeadline);
+    if (!answer) {
+      // It may have come back elsewhere.
+      mPeers.erase(aMember);
     }
-    const std::shared_ptr<nng_peer> kept = peer;
-    return kept->Exchange(aBytes, aDeadline);
+    return answer;
   }
 
   fiber_runtime& mRuntime;
   handlers mHandlers;
+  resolve_call mResolve;
   std::map<std::string, std::shared_ptr<nng_peer>> mPeers;
-  nng_listener_socket mListener;
+  listener mListener;
 };
 
-router_link::router_link(fiber_runtime& aRuntime, const endpoint& aSelf, handlers aHandlers)
-  : mState(std::make_shared<state>(aRuntime, aSelf, std::move(aHandlers)))
+router_link::router_link(fiber_runtime& aRuntime, const endpoint& aSelf, handlers aHandlers,
+                         resolve_call aResolve)
+  : mState(std::make_shared<state>(aRuntime, aSelf, std::move(aHandlers), std::move(aResolve)))
 {
 }
 
 router_link::~router_link() = default;
 
+endpoint router_link::Listening() const
+{
+  return mState->mListener->Listening();
+}
+
 void router_link::Tell(const std::string& aMember, const router_report& aReport)
 {
   mState->mRuntime.Spawn([self = mState, member = aMember, bytes = Encode(aReport)] {
--- a/src/router/router_link.h
+++ b/src/router/router_link.h
@@ -29,8 +29,8 @@
   bool mWithdraw = false;
 };
 
-/// Messages between routers. A router is named by its peer address; this link uses the port after
-/// it, since the peer port itself carries the messages about settings.
+/// Messages between routers. A router is named by its peer address, whose port carries the messages
+/// about settings. This link listens at the port after it, or at a later one when that is taken.
 class router_link
 {
 public:
@@ -40,11 +40,17 @@
     std::function<claim_verdict(const claim_request&)> mOnClaim;
   };
 
-  router_link(fiber_runtime& aRuntime, const endpoint& aSelf, handlers aHandlers);
+  /// Finds where another router's link listens; may suspend.
+  using resolve_call = std::function<endpoint(const std::string& aMember)>;
+
+  /// Throws std::system_error when no port can be had.
+  router_link(fiber_runtime& aRuntime, const endpoint& aSelf, handlers aHandlers,
+              resolve_call aResolve);
   ~router_link();
   router_link(const router_link&) = delete;
   router_link& operator=(const router_link&) = delete;
 
+  endpoint Listening() const;
   /// Sends a report without waiting for anything.
   void Tell(const std::string& aMember, const router_report& aReport);
   /// Suspends until the verdict is there.
@@ -56,4 +62,7 @@
   std::shared_ptr<state> mState;
 };
 
+/// Where the link of a router listens unless that port was taken.
+endpoint UsualLinkAddress(const std::string& aMember);
+
 } // namespace briarwind
