Catalogue of events and metrics: each program prints its own, a test compares the pages

Programs print their own tables, since those of router and scheduler are not linked into briarwind-ctl.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: help setup build test run bench capacity model lint format clean
+.PHONY: help setup build test run bench capacity catalogue model lint format clean
 
 help: ## lists the targets
 	@grep -hE '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -28,6 +28,9 @@
 capacity: build ## measures the slopes of docs/CAPACITY.md
 	bash scripts/capacity.sh $(BUILD)
 
+catalogue: build ## writes docs/EVENTS.md and docs/METRICS.md from the programs' tables
+	python3 testsuite/catalogue/run.py --build $(BUILD) --write
+
 model: setup ## checks the models and that each seeded fault is found
 	bash spec/check.sh
 
--- a/src/include/briarwind/options.h
+++ b/src/include/briarwind/options.h
@@ -2,6 +2,8 @@
 
 #include "briarwind/endpoint.h"
 #include "briarwind/finding.h"
+#include "briarwind/log.h"
+#include "briarwind/metrics.h"
 #include "briarwind/time.h"
 
 #include <cstdint>
@@ -44,6 +46,9 @@
   /// A check over several options, run after all are read; appends to the findings.
   void AddCheck(std::function<void(findings&)> aCheck);
 
+  /// Events and metrics that --catalogue prints, from which the pages in docs are made.
+  void AddCatalogue(std::span<const event_kind> aEvents, std::span<const metric_kind> aMetrics);
+
   using environment = std::function<const char*(const char*)>;
 
   /// Reads flags and environment and collects every finding. Unknown flags and unknown variables
@@ -53,8 +58,8 @@
   findings Parse(std::span<const char* const> aArguments, const environment& aEnvironment,
                  std::span<const std::string> aVariables = {});
 
-  /// For main: parses, and on --help, --version, --check or an error prints and exits
-  /// (0 for the first three when nothing is wrong, 2 for errors). Findings go to standard error.
+  /// For main: parses, and on --help, --version, --catalogue, --check or an error prints and exits
+  /// (0 for the first four when nothing is wrong, 2 for errors). Findings go to standard error.
   /// @param aArguments begins with the program's name, as main gets it
   void ParseOrExit(int aCount, const char* const* aArguments);
 
--- a/src/libutil/options.cpp
+++ b/src/libutil/options.cpp
@@ -113,6 +113,8 @@
   bool mWantsHelp = false;
   bool mWantsVersion = false;
   bool mWantsCheck = false;
+  bool mWantsCatalogue = false;
+  std::string mCatalogue;
 
   void Add(std::string_view aFlag, std::string aForm, std::string aDefault, std::string_view aHelp,
            option_reader aRead)
@@ -191,6 +193,8 @@
   mState->mPurpose = std::move(aPurpose);
   mState->AddAction("help", mState->mWantsHelp, "Prints this text and exits.");
   mState->AddAction("version", mState->mWantsVersion, "Prints the version and exits.");
+  mState->AddAction("catalogue", mState->mWantsCatalogue,
+                    "Prints the events and metrics of this program and exits.");
   mState->AddAction("check", mState->mWantsCheck, "Checks the settings, prints findings, exits.");
 }
 
@@ -271,6 +275,12 @@
   mState->mChecks.push_back(std::move(aCheck));
 }
 
+void option_set::AddCatalogue(std::span<const event_kind> aEvents,
+                              std::span<const metric_kind> aMetrics)
+{
+  mState->mCatalogue += EventCatalogue(aEvents) + MetricCatalogue(aMetrics);
+}
+
 findings option_set::Parse(std::span<const char* const> aArguments, const environment& aEnvironment,
                            std::span<const std::string> aVariables)
 {
@@ -300,6 +310,10 @@
   } else if (mState->mWantsVersion) {
     fmt::print("{} {}\n", mState->mProgram, kVersion);
   }
+  if (mState->mWantsCatalogue) {
+    fmt::print("{}", mState->mCatalogue);
+    std::exit(0);
+  }
   fmt::print(stderr, "{}", ToText(found));
   if (HasErrors(found)) {
     std::exit(kBadSettingsExit);
--- a/src/router/router_options.cpp
+++ b/src/router/router_options.cpp
@@ -1,11 +1,19 @@
 #include "router_options.h"
 
+#include "router_events.h"
+
+#include "briarwind/host_poller.h"
+#include "briarwind/settings_events.h"
+
 namespace briarwind {
 
 void AddOptions(option_set& aSet, router_options& aOptions)
 {
   constexpr milliseconds kHour = std::chrono::hours(1);
   constexpr std::int64_t kLongestQueue = 100'000;
+  aSet.AddCatalogue(events::RouterEvents(), meters::RouterMetrics());
+  aSet.AddCatalogue(HostListEvents(), HostListMetrics());
+  aSet.AddCatalogue(kSettingsEvents, kSettingsMetrics);
   aSet.Add("listen", aOptions.mListen, "where callers connect");
   aSet.Add("name", aOptions.mName, "name of this router, for people");
   aSet.Add("failure-domain", aOptions.mDomain, "failure domain of this host; its instances first");
--- a/src/scheduler/scheduler_options.cpp
+++ b/src/scheduler/scheduler_options.cpp
@@ -1,5 +1,11 @@
 #include "scheduler_options.h"
 
+#include "scheduler_events.h"
+
+#include "briarwind/catalogue.h"
+#include "briarwind/host_poller.h"
+#include "briarwind/settings_events.h"
+
 namespace briarwind {
 
 void AddOptions(option_set& aSet, scheduler_options& aOptions)
@@ -7,6 +13,10 @@
   constexpr milliseconds kHour = std::chrono::hours(1);
   constexpr milliseconds kMinute{ 60'000 };
   constexpr milliseconds kSecond{ 1'000 };
+  aSet.AddCatalogue(UtilEvents(), {});
+  aSet.AddCatalogue(SchedulerEvents(), SchedulerMetrics());
+  aSet.AddCatalogue(HostListEvents(), HostListMetrics());
+  aSet.AddCatalogue(kSettingsEvents, kSettingsMetrics);
   aSet.Add("listen", aOptions.mListen, "where callers and operators connect");
   aSet.Add("name", aOptions.mName, "name of this scheduler, for people");
   aSet.Add("failure-domain", aOptions.mDomain, "failure domain of this host");
--- a/src/standins/hostlist/main.cpp
+++ b/src/standins/hostlist/main.cpp
@@ -1,3 +1,4 @@
+#include "briarwind/catalogue.h"
 #include "briarwind/json_fields.h"
 #include "briarwind/options.h"
 #include "briarwind/route_table.h"
@@ -56,6 +57,7 @@
   endpoint listen{ "127.0.0.1", 0 };
   option_set options("standin-hostlist", "Takes the place of the platform's host list in tests.");
   options.Add("listen", listen, "Address to take connections at; port 0 is any free port.");
+  options.AddCatalogue(UtilEvents(), {});
   options.ParseOrExit(aCount, aArguments);
 
   fiber_runtime runtime;
--- a/src/standins/instance/main.cpp
+++ b/src/standins/instance/main.cpp
@@ -1,3 +1,4 @@
+#include "briarwind/catalogue.h"
 #include "briarwind/json_fields.h"
 #include "briarwind/options.h"
 #include "briarwind/route_table.h"
@@ -166,6 +167,7 @@
   options.Add("slots", slots, 1, 1'000, "Requests that run at once.");
   options.Add("connections", connections, 1, 10'000, "Connections at once; more are closed.");
   options.Add("latency", latency, milliseconds{ 0 }, minutes{ 1 }, "Time that a request runs.");
+  options.AddCatalogue(UtilEvents(), {});
   options.ParseOrExit(aCount, aArguments);
 
   fiber_runtime runtime;
--- a/src/standins/store/main.cpp
+++ b/src/standins/store/main.cpp
@@ -1,3 +1,4 @@
+#include "briarwind/catalogue.h"
 #include "briarwind/options.h"
 #include "briarwind/serve.h"
 #include "standins/store/store_service.h"
@@ -20,6 +21,7 @@
   options.Add("listen", listen, "Address to take connections at; port 0 is any free port.");
   options.Add("progress", progress, milliseconds{ 10 }, minutes{ 10 },
               "Time between two lines of a watch without changes.");
+  options.AddCatalogue(UtilEvents(), {});
   options.ParseOrExit(aCount, aArguments);
 
   fiber_runtime runtime;
--- a/src/standins/worker/main.cpp
+++ b/src/standins/worker/main.cpp
@@ -1,3 +1,4 @@
+#include "briarwind/catalogue.h"
 #include "briarwind/options.h"
 #include "briarwind/serve.h"
 #include "standins/worker/worker_service.h"
@@ -35,6 +36,7 @@
               "Age of the usage that it reports.");
   options.Add("checkpoint-time", identity.mCheckpointTime, milliseconds{ 0 }, minutes{ 10 },
               "Time that it takes to write a checkpoint.");
+  options.AddCatalogue(UtilEvents(), {});
   options.ParseOrExit(aCount, aArguments);
   identity.mCapacity.mAccelerators = static_cast<int>(accelerators);
   identity.mCapacity.mCores = static_cast<int>(cores);
