--- a/src/scheduler/queue_leader.cpp
+++ b/src/scheduler/queue_leader.cpp
@@ -16,6 +16,8 @@
 constexpr std::string_view kLeaderKey = "/briarwind/leaders/main";
 constexpr milliseconds kStoreTimeout{ 1'000 };
 constexpr milliseconds kRetryWait{ 200 };
+constexpr milliseconds kMembersTimeout{ 500 };
+constexpr milliseconds kQuorumPatience{ 30'000 };
 // Followers that see the key go do not all write at once.
 constexpr milliseconds kElectionSpread{ 300 };
 constexpr milliseconds kFlushTime{ 3'000 };
@@ -36,12 +38,13 @@
 
 queue_leader::queue_leader(config_store& aStore, scheduler_engine& aEngine,
                            const scheduler_options& aOptions, endpoint aSelf,
-                           job_list_observer aOnUnsaved)
+                           leader_quorum& aQuorum, job_list_observer aOnUnsaved)
   : mStore(aStore)
   , mEngine(aEngine)
   , mTimeToLive(aOptions.mLeaderTimeToLive)
   , mName(aOptions.mName)
   , mSelf(std::move(aSelf))
+  , mQuorum(aQuorum)
   , mOnUnsaved(std::move(aOnUnsaved))
   , mRandom(std::random_device{}())
 {
@@ -103,6 +106,7 @@
     SleepFor(kRetryWait);
     return;
   }
+  const instant begun = monotonic_clock::now();
   const auto lease = mStore.GrantLease(LeaseSeconds(mTimeToLive), StoreDeadline());
   if (!lease) {
     SleepFor(kRetryWait);
@@ -119,49 +123,74 @@
   }
   mLease = lease.value();
   mEpoch = swapped.value().mRevision;
+  mConfirmed = begun;
+  mElected = begun;
   mLeader = mSelf;
   mStale = false;
   LogEvent(kLeaderElected, { Field("epoch", mEpoch) });
 }
 
+bool queue_leader::IsConfirmed(instant aNow) const
+{
+  return IsLeader() && aNow - mConfirmed <= mTimeToLive;
+}
+
 void queue_leader::Lead()
 {
-  instant confirmed = monotonic_clock::now();
   bool acting = false;
   while (IsLeader() && !mResigned) {
-    acting = acting || mEngine.TakeOver(mEpoch);
-    if (Heartbeat()) {
-      confirmed = monotonic_clock::now();
-    }
-    const bool late = monotonic_clock::now() - confirmed > mTimeToLive;
+    acting = acting || (MayTakeOver() && mEngine.TakeOver(mEpoch));
+    Heartbeat();
     if (mStale) {
-      StepDown("a worker has seen a higher epoch");
-    } else if (!acting && late) {
-      StepDown("no takeover while the lease lasted");
+      StepDown("a later leader is known");
+    } else if (!IsConfirmed(monotonic_clock::now())) {
+      StepDown("neither the store nor a majority confirmed it in time");
     } else {
-      SleepFor(mTimeToLive / 3);
+      SleepFor(acting ? mTimeToLive / 3 : kRetryWait);
     }
   }
 }
 
-// True when the store confirmed the lease.
-bool queue_leader::Heartbeat()
+// A majority that knows our epoch keeps an older leader, cut off from the store, from renewing
+// leases. When the majority has died there is nobody left to confirm such a leader either, so a
+// long wait without one ends.
+bool queue_leader::MayTakeOver()
+{
+  const instant now = monotonic_clock::now();
+  const auto round = mQuorum.Ask(mEpoch, now + kMembersTimeout);
+  mStale = mStale || round.mSuperseded;
+  return round.mHasMajority || now - mElected > kQuorumPatience;
+}
+
+void queue_leader::Heartbeat()
 {
-  const auto kept = mStore.KeepAlive(mLease, StoreDeadline());
+  const instant begun = monotonic_clock::now();
+  const auto kept = mStore.KeepAlive(mLease, begun + kStoreTimeout);
   const bool reached = kept || kept.error().mKind == error_kind::kNotFound;
   if (mEngine.Core().Status().mStoreReachable != reached) {
     mEngine.Take(store_reachable{ reached });
   }
   if (kept) {
+    mConfirmed = begun;
     mUnconfirmed = false;
-    return true;
-  }
-  if (kept.error().mKind == error_kind::kNotFound) {
+  } else if (reached) {
     StepDown(FlushUnsaved() ? "the lease lapsed" : "the lease lapsed with jobs not yet recorded");
-  } else if (!std::exchange(mUnconfirmed, true)) {
-    LogEvent(kLeaderUnconfirmed, { Field("why", kept.error().mWhat) });
+  } else {
+    AskMembers();
+  }
+}
+
+void queue_leader::AskMembers()
+{
+  if (!std::exchange(mUnconfirmed, true)) {
+    LogEvent(kLeaderUnconfirmed, { Field("epoch", mEpoch) });
+  }
+  const instant begun = monotonic_clock::now();
+  const auto round = mQuorum.Ask(mEpoch, begun + kMembersTimeout);
+  mStale = mStale || round.mSuperseded;
+  if (round.mHasMajority) {
+    mConfirmed = begun;
   }
-  return false;
 }
 
 // After an outage the store no longer knows our lease, but the core may hold jobs and ends that it
--- a/src/scheduler/queue_leader.h
+++ b/src/scheduler/queue_leader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "leader_quorum.h"
 #include "scheduler_engine.h"
 #include "scheduler_options.h"
 
@@ -26,7 +27,7 @@
   /// @param aSelf where this scheduler serves HTTP; others forward calls there
   /// @param aOnUnsaved gets the jobs that only this process knew of when it stepped down
   queue_leader(config_store& aStore, scheduler_engine& aEngine, const scheduler_options& aOptions,
-               endpoint aSelf, job_list_observer aOnUnsaved);
+               endpoint aSelf, leader_quorum& aQuorum, job_list_observer aOnUnsaved);
 
   /// Runs until Resign; in a fiber of its own.
   void Run();
@@ -34,6 +35,8 @@
   void Resign();
 
   bool IsLeader() const { return mEpoch != 0; }
+  /// Whether no successor can count leases of ours as lapsed that are renewed at this instant.
+  bool IsConfirmed(instant aNow) const;
   epoch_number Epoch() const { return mEpoch; }
   /// The leader as last seen in the store; nothing while there is none.
   std::optional<endpoint> Leader() const { return mLeader; }
@@ -43,7 +46,9 @@
   void Compete();
   void Lead();
   void StepDown(const std::string& aReason);
-  bool Heartbeat();
+  void Heartbeat();
+  void AskMembers();
+  bool MayTakeOver();
   bool FlushUnsaved();
   void See(const stored_value& aValue);
 
@@ -52,12 +57,15 @@
   milliseconds mTimeToLive;
   std::string mName;
   endpoint mSelf;
+  leader_quorum& mQuorum;
   job_list_observer mOnUnsaved;
+  instant mConfirmed{};
   std::mt19937_64 mRandom;
   store_lease mLease = 0;
   epoch_number mEpoch = 0;
   bool mStale = false;
   bool mUnconfirmed = false;
+  instant mElected{};
   bool mResigned = false;
   std::optional<endpoint> mLeader;
 };
