--- a/testsuite/router_leaving/run.py
+++ b/testsuite/router_leaving/run.py
@@ -28,7 +28,7 @@
     cluster.start_standins()
     cluster.start_instances(SERVICE, ["d1"], 3)
     cluster.publish_hosts()
-    cluster.start_routers(2, ["d1"], ("--balancer-lag", "200ms", "--release-time", "2s"))
+    cluster.start_routers(2, ["d1"])
     cluster.start_schedulers(1, ["d1"])
     for member in cluster.routers + cluster.schedulers:
         member.wait_ready(40)
--- a/testsuite/router_outage/run.py
+++ b/testsuite/router_outage/run.py
@@ -21,7 +21,7 @@
     cluster.start_standins()
     cluster.start_instances(SERVICE, ["d1"], 4)
     cluster.publish_hosts()
-    cluster.start_routers(2, ["d1"], ("--balancer-lag", "200ms", "--release-time", "4s"))
+    cluster.start_routers(2, ["d1"])
     for router in cluster.routers:
         router.wait_ready(40)
 
--- a/testsuite/router_restart/run.py
+++ b/testsuite/router_restart/run.py
@@ -32,7 +32,7 @@
     cluster.start_standins()
     cluster.start_instances(SERVICE, ["d1"], 6)
     cluster.publish_hosts()
-    cluster.start_routers(3, ["d1"], ("--balancer-lag", "500ms", "--release-time", "2s"))
+    cluster.start_routers(3, ["d1"])
     for router in cluster.routers:
         router.wait_ready(40)
 
