--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -45,13 +45,15 @@
     , mOptions(std::move(aOptions))
     , mStore(aRuntime, mOptions.mStores, mMetrics)
     , mEngine(aRuntime, mStore, mMetrics, mOptions,
-              [this](instant aNow) { return mNode.Check(aNow).IsFresh(); })
+              { [this](instant aNow) { return mNode.Check(aNow).IsFresh(); },
+                [this](instant aNow) { return mLeader.IsConfirmed(aNow); } })
     , mHosts(aRuntime, mOptions.mHostLists, mOptions.mHostPoll, mMetrics,
              [this](const host_list& aList) { mEngine.OnHosts(aList); })
     , mServer(aRuntime, mOptions.mListen,
               [this](const http_request& aRequest) { return mApi->Handle(aRequest); })
     , mNode(aRuntime, mStore, mMetrics, NodeOptions(mOptions, mServer.Listening()))
-    , mLeader(mStore, mEngine, mOptions, mServer.Listening(),
+    , mQuorum(aRuntime, mNode)
+    , mLeader(mStore, mEngine, mOptions, mServer.Listening(), mQuorum,
               [this](std::vector<job_spec> aSpecs) { ResubmitAll(std::move(aSpecs)); })
   {
     mApi = std::make_unique<scheduler_api>(
@@ -127,6 +129,7 @@
   std::unique_ptr<scheduler_api> mApi;
   http_server mServer;
   settings_node mNode;
+  leader_quorum mQuorum;
   queue_leader mLeader;
 };
 
