--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import re
+import socket
 import subprocess
 import sys
 import threading
@@ -127,8 +128,27 @@
     return [each for each in cluster.schedulers if each is not leader]
 
 
+class FixedPorts:
+    """Ports below those that the kernel hands out; each with the next one free too."""
+
+    def __init__(self):
+        self._next = 20_000 + os.getpid() % 5_000 * 2
+
+    def pick(self):
+        while True:
+            self._next += 2
+            try:
+                for port in (self._next, self._next + 1):
+                    with socket.socket() as probe:
+                        probe.bind((harness.LOOPBACK, port))
+            except OSError:
+                continue
+            return f"{harness.LOOPBACK}:{self._next}"
+
+
 def open_cluster(build, workers=3, schedulers=0, routers=0, instances=0):
     cluster = harness.Cluster(build)
+    cluster.ports = FixedPorts()
     cluster.__enter__()
     try:
         cluster.start_standins()
