--- a/src/router/router_group.cpp
+++ b/src/router/router_group.cpp
@@ -2,7 +2,10 @@
 
 #include "router_events.h"
 
+#include "briarwind/http_client.h"
+
 #include <algorithm>
+#include <charconv>
 #include <iterator>
 #include <utility>
 
@@ -15,6 +18,9 @@
 constexpr milliseconds kTellEvery{ 1'000 };
 // With many members each one tells the others less often, so that the traffic grows slower.
 constexpr milliseconds kTellPerMember{ 50 };
+constexpr milliseconds kLookupTimeout{ 300 };
+constexpr int kReportsMissed = 3; // a router that was not heard for so many intervals is away
+constexpr int kBoundPart = 4;     // of the release time: how long a confirmation counts
 
 std::vector<std::string> ListedPeers(const router_options& aOptions, const endpoint& aSelf)
 {
@@ -50,7 +56,8 @@
     mLink.emplace(
       aRuntime, aSelf,
       router_link::handlers{ [this](const router_report& aReport) { OnReport(aReport); },
-                             [this](const claim_request& aRequest) { return OnClaim(aRequest); } });
+                             [this](const claim_request& aRequest) { return OnClaim(aRequest); } },
+      [this](const std::string& aMember) { return FindLink(aMember); });
   }
   if (!mHasStore) {
     mCore.Shares().AdoptFixed({ ++mViews, mListedPeers });
@@ -64,6 +71,7 @@
   for (const member& each : aMembers) {
     if (each.mKind == member_kind::kRouter) {
       names.push_back(ToString(each.mPeer));
+      mHttp[names.back()] = each.mHttp;
     }
   }
   std::ranges::sort(names);
@@ -79,6 +87,29 @@
   }
 }
 
+std::uint16_t router_group::LinkPort() const
+{
+  return mLink ? mLink->Listening().mPort : 0;
+}
+
+endpoint router_group::FindLink(const std::string& aMember)
+{
+  endpoint link = UsualLinkAddress(aMember);
+  const auto http = mHttp.find(aMember);
+  if (http == mHttp.end()) {
+    return link;
+  }
+  http_request request;
+  request.mTarget = kLinkPage;
+  const auto answer =
+    HttpCall(mRuntime, http->second, request, monotonic_clock::now() + kLookupTimeout);
+  if (answer && answer.value().mStatus == 200) {
+    const std::string& text = answer.value().mBody;
+    std::from_chars(text.data(), text.data() + text.size(), link.mPort);
+  }
+  return link;
+}
+
 void router_group::UseListedPeers(instant aNow)
 {
   // The store could not be read since the start: the peers given by flag stand in for the list.
@@ -93,12 +124,12 @@
   if (!mHasStore || mViews == 0) {
     return;
   }
-  // Others use this router's share a release time after they saw it go.
-  const duration bound = mRelease / 2;
-  if (mCore.Shares().IsConfirmedByPeers(aNow - bound / 2)) {
+  if (mCore.Shares().IsConfirmedByPeers(aNow - kReportsMissed * TellInterval())) {
     mConfirmed = aNow;
   }
-  const bool isConfirmed = mConfirmed && *mConfirmed + bound > aNow;
+  // Others use this router's share a release time after they saw it go, which it can see later than
+  // they by one listing of the members.
+  const bool isConfirmed = mConfirmed && *mConfirmed + mRelease / kBoundPart > aNow;
   if (isConfirmed != mCore.Shares().IsFresh()) {
     LogEvent(isConfirmed ? events::kViewConfirmed : events::kViewNotConfirmed);
     mCore.Shares().SetFresh(isConfirmed, aNow);
@@ -113,6 +144,12 @@
   TellAll(aNow);
 }
 
+duration router_group::TellInterval() const
+{
+  const auto count = static_cast<std::int64_t>(mCore.Shares().Members());
+  return std::max(kTellEvery, count * kTellPerMember);
+}
+
 bool router_group::HasNews(const share_report& aReport) const
 {
   return aReport.mSettled != mTold.mSettled || aReport.mBase != mTold.mBase ||
@@ -131,8 +168,7 @@
   mTold = report.mShares;
   mToldLeaving = report.mLeaving;
   const auto& members = mCore.Shares().MemberNames();
-  const auto count = static_cast<std::int64_t>(members.size());
-  mTellAt = aNow + std::max(kTellEvery, count * kTellPerMember);
+  mTellAt = aNow + TellInterval();
   for (const std::string& each : members) {
     if (each != mSelf) {
       mLink->Tell(each, report);
