--- a/spec/gang.pml
+++ b/spec/gang.pml
@@ -20,9 +20,10 @@
  *   teach the epoch, list, read, adopt    src/scheduler/scheduler_engine.cpp,
  *                                         src/libjobs/core_takeover.cpp
  *   check right before the start is sent  scheduler_engine::MayStart
- *   renew only what is whole, and only    not in the code, see
- *     while leadership is confirmed         docs/design/models.md
- *   wait after an incomplete takeover     not in the code, see there
+ *   act while leadership is confirmed     src/scheduler/leader_quorum.cpp,
+ *                                         src/scheduler/queue_leader.cpp
+ *   renew only what is whole, wait after  not or not wholly in the code, see
+ *     an incomplete takeover, orphans       docs/design/models.md
  *   leases, refusal of lower epochs       worker (docs/API.md)
  *
  * Failures. Every message may be lost, its answer may be lost, a renewal or a
@@ -32,9 +33,9 @@
  * lose the answer, or be away.
  *
  * Abstracted away: the queue, checkpoints, further jobs on the workers, more
- * than one takeover. A majority of the members tells an old leader of a new
- * one as the store does, once the new one has announced itself (freshness.pml
- * is the same rule). Ages count up to where they stop mattering.
+ * than one takeover. Election and announcement to a majority are one step: from
+ * then on neither the store nor a majority confirms the old leader. Ages count
+ * up to where they stop mattering.
  */
 
 /* Ticks that something outlives; it is over at the next. */
