--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -159,8 +159,7 @@
         if schedulers:
             cluster.start_schedulers(schedulers, DOMAINS)
         if routers:
-            cluster.start_routers(routers, DOMAINS, ("--balancer-lag", "200ms",
-                                                     "--release-time", "2s"))
+            cluster.start_routers(routers, DOMAINS)
         for member in cluster.routers + cluster.schedulers:
             member.wait_ready(60)
         if schedulers:
--- a/spec/gang.pml
+++ b/spec/gang.pml
@@ -22,8 +22,9 @@
  *   check right before the start is sent  scheduler_engine::MayStart
  *   act while leadership is confirmed     src/scheduler/leader_quorum.cpp,
  *                                         src/scheduler/queue_leader.cpp
- *   renew only what is whole, wait after  not or not wholly in the code, see
- *     an incomplete takeover, orphans       docs/design/models.md
+ *   wait after an incomplete takeover     src/libjobs/core_takeover.cpp
+ *   renew only what is whole, refusal     not in the code, see
+ *     after an unanswered start             docs/design/models.md
  *   leases, refusal of lower epochs       worker (docs/API.md)
  *
  * Failures. Every message may be lost, its answer may be lost, a renewal or a
