A refused start after one without an answer leaves the fate unknown

Change: only the refusal of a member's first start counts as nothing started. Seen failing first: the new story ended as queued; unknown after.

--- a/src/libjobs/core_attempt.cpp
+++ b/src/libjobs/core_attempt.cpp
@@ -206,16 +206,9 @@
       member.mLeaseUntil = mNow + mOptions.mLeaseTimeToLive;
       MemberRuns(*job, index);
       break;
-    case call_outcome::kRefused: {
-      member.mStarted = false;
-      MemberGone(*job, index);
-      const bool none = std::ranges::none_of(job->mMembers, &member_state::mStarted);
-      job->mAnyStarted = !none;
-      const bool again = none || job->Spec().mRepeatable;
-      StopAttempt(*job, again ? after_stop::kQueueAgain : after_stop::kFailed,
-                  "a start was refused", milliseconds(0));
+    case call_outcome::kRefused:
+      StartRefused(*job, index);
       break;
-    }
     case call_outcome::kUnknown:
       if (member.mStartsSent < kMostStarts) {
         SendStart(*job, index);
@@ -227,6 +220,22 @@
   FinishIfOver(*job);
 }
 
+// Only the refusal of a first start is certain: an earlier one without an answer may have run until
+// its lease lapsed.
+void job_core::state::StartRefused(job_entry& aJob, int aMember)
+{
+  member_state& member = aJob.mMembers[aMember];
+  const bool certain = member.mStartsSent <= 1;
+  member.mStarted = !certain;
+  MemberGone(aJob, aMember);
+  const bool none = std::ranges::none_of(aJob.mMembers, &member_state::mStarted);
+  aJob.mAnyStarted = !none;
+  const bool again = none || aJob.Spec().mRepeatable;
+  const after_stop otherwise = certain ? after_stop::kFailed : after_stop::kUnknown;
+  StopAttempt(aJob, again ? after_stop::kQueueAgain : otherwise, "a start was refused",
+              milliseconds(0));
+}
+
 void job_core::state::MemberRuns(job_entry& aJob, int aMember)
 {
   aJob.mMembers[aMember].mPhase = member_phase::kRunning;
--- a/src/libjobs/core_state.h
+++ b/src/libjobs/core_state.h
@@ -110,6 +110,7 @@
   void AllReserved(job_entry& aJob);
   void StartAll(job_entry& aJob);
   void SendStart(job_entry& aJob, int aMember);
+  void StartRefused(job_entry& aJob, int aMember);
   void MemberRuns(job_entry& aJob, int aMember);
   void StopAttempt(job_entry& aJob, after_stop aAfter, const std::string& aReason,
                    milliseconds aCheckpointBound);
--- a/src/libjobs/job_core_test.cpp
+++ b/src/libjobs/job_core_test.cpp
@@ -408,39 +408,100 @@
   // Its domain is out, so the successor finds it queued and does not write before the other does.
   system.mSettings.mDomains["d0"] = { "d0", true, "" };
   system.mPlatform.Send(settings_changed{ system.mSettings });
-  BW_SECTION("with an attempt that it can no longer start")
+  job_state expected = job_state::kFinished;
+  bool cancels = false;
+  BW_SECTION("with an attempt that can no longer start: the job is attempted again") {}
+  BW_SECTION("with an attempt that may have started: what must not be repeated is unknown")
   {
-    BW_SECTION("and the job is attempted again")
-    {
-      system.Submit(spec);
-    }
-    BW_SECTION("and the job is not lost though it must not be repeated")
-    {
-      spec.mRepeatable = false;
-      system.Submit(spec);
-    }
+    spec.mRepeatable = false;
+    expected = job_state::kUnknown;
+  }
+  BW_SECTION("and a cancellation that comes then stands")
+  {
+    cancels = true;
+    expected = job_state::kCancelled;
+  }
+  system.Submit(spec);
+  system.RunFor(seconds(1));
+  system.mPlatform.Restart(2, system.mSettings, system.mWorkers);
+  restored_record& stored = system.mPlatform.Store()["j"];
+  stored.mRecord.mState = job_state::kAttempted;
+  stored.mRecord.mAttempt = 1;
+  stored.mRecord.mEpoch = 1;
+  stored.mRecord.mChange = "1-late";
+  stored.mRecord.mPlacements = { { 0, "w0", "late-0" }, { 1, "w1", "late-1" } };
+  ++stored.mRevision;
+  if (cancels) {
+    system.mPlatform.Send(job_cancelled{ "j" });
     system.RunFor(seconds(1));
-    system.mPlatform.Restart(2, system.mSettings, system.mWorkers);
-    restored_record& stored = system.mPlatform.Store()["j"];
-    stored.mRecord.mState = job_state::kAttempted;
-    stored.mRecord.mAttempt = 1;
-    stored.mRecord.mEpoch = 1;
-    stored.mRecord.mChange = "1-late";
-    stored.mRecord.mPlacements = { { 0, "w0", "late-0" }, { 1, "w1", "late-1" } };
-    ++stored.mRevision;
-    job_state expected = spec.mRepeatable ? job_state::kFinished : job_state::kUnknown;
-    BW_SECTION("and a cancellation stands")
-    {
-      system.mPlatform.Send(job_cancelled{ "j" });
-      system.RunFor(seconds(1));
-      expected = job_state::kCancelled;
+  }
+  system.mSettings.mDomains["d0"].mWithdrawn = false;
+  system.mPlatform.Send(settings_changed{ system.mSettings });
+  system.RunFor(seconds(40));
+  BW_CHECK(system.mPlatform.Core().Find("j").has_value());
+  BW_CHECK(system.StateOf("j") == expected);
+  BW_CHECK(system.mPlatform.Store()["j"].mRecord.mState == expected);
+}
+
+namespace {
+
+// A job of one member that must not be repeated, up to its first start, driven event by event.
+struct lone_start
+{
+  lone_start()
+  {
+    Send(workers_changed{ Workers(1, 1) });
+    Send(settings_changed{ Settings(0) });
+    Send(freshness_changed{ true, {} });
+    Send(epoch_gained{ 1 });
+    Send(restored{ {}, { { "w0", {} } } });
+    job_spec spec = Job("j", 1);
+    spec.mRepeatable = false;
+    Send(job_submitted{ 1, spec });
+  }
+
+  // Records are stored and reservations granted at once.
+  void Send(const event& aEvent)
+  {
+    mNow += milliseconds(1);
+    for (const action& each : mCore.Handle(aEvent, mNow)) {
+      if (const auto* record = std::get_if<record_job>(&each)) {
+        Send(record_finished{ "j", record->mRecord.mChange, record_outcome::kOk, ++mRevision, {} });
+      } else if (const auto* reserve = std::get_if<reserve_lease>(&each)) {
+        Send(reserve_finished{ reserve->mMember, call_outcome::kOk, "lease", {} });
+      } else if (const auto* start = std::get_if<start_lease>(&each)) {
+        ++mStarts;
+        mMember = start->mMember;
+      }
     }
-    BW_SECTION("and nobody cancels") {}
-    system.mSettings.mDomains["d0"].mWithdrawn = false;
-    system.mPlatform.Send(settings_changed{ system.mSettings });
-    system.RunFor(seconds(40));
-    BW_CHECK(system.mPlatform.Core().Find("j").has_value());
-    BW_CHECK(system.StateOf("j") == expected);
-    BW_CHECK(system.mPlatform.Store()["j"].mRecord.mState == expected);
+  }
+
+  job_state State() const { return mCore.Find("j")->mRecord.mState; }
+
+  job_core mCore;
+  instant mNow{};
+  store_revision mRevision = 0;
+  int mStarts = 0;
+  member_id mMember;
+};
+
+} // namespace
+
+BW_STORY("a start that is refused")
+{
+  lone_start job;
+  job.Send(tick{});
+  BW_EQUAL(1, job.mStarts);
+  BW_SECTION("at the first time did not happen: the job waits for its next attempt")
+  {
+    job.Send(start_finished{ job.mMember, call_outcome::kRefused });
+    BW_CHECK(job.State() == job_state::kQueued);
+  }
+  BW_SECTION("after one without an answer tells nothing of that one: the fate is unknown")
+  {
+    job.Send(start_finished{ job.mMember, call_outcome::kUnknown });
+    BW_EQUAL(2, job.mStarts);
+    job.Send(start_finished{ job.mMember, call_outcome::kRefused });
+    BW_CHECK(job.State() == job_state::kUnknown);
   }
 }
