--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -19,6 +19,7 @@
 
 #include <array>
 #include <csignal>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -42,29 +43,22 @@
   return options;
 }
 
-/// The settings from the store and the other members, for a router that has a store.
+/// The settings from the store and the other members; empty for a router without a store.
 struct store_side
 {
   store_side(fiber_runtime& aRuntime, metrics& aMetrics, const router_options& aOptions,
              const endpoint& aListening)
-    : mStore(aRuntime, aOptions.mStores, aMetrics)
-    , mNode(aRuntime, mStore, aMetrics, NodeOptions(aOptions, aListening))
   {
+    if (!aOptions.mStores.empty()) {
+      mStore.emplace(aRuntime, aOptions.mStores, aMetrics);
+      mNode.emplace(aRuntime, *mStore, aMetrics, NodeOptions(aOptions, aListening));
+    }
   }
 
-  etcd_store mStore;
-  settings_node mNode;
+  std::optional<etcd_store> mStore;
+  std::optional<settings_node> mNode;
 };
 
-std::unique_ptr<store_side> MakeStoreSide(fiber_runtime& aRuntime, metrics& aMetrics,
-                                          const router_options& aOptions,
-                                          const endpoint& aListening)
-{
-  return aOptions.mStores.empty()
-           ? nullptr
-           : std::make_unique<store_side>(aRuntime, aMetrics, aOptions, aListening);
-}
-
 routing_options CoreOptions(const router_options& aOptions, const endpoint& aSelf)
 {
   routing_options options;
@@ -124,9 +118,9 @@
     , mOptions(std::move(aOptions))
     , mServer(aRuntime, mOptions.mListen,
               [this](const http_request& aRequest) { return Answer(aRequest); })
-    , mStoreSide(MakeStoreSide(aRuntime, mMetrics, mOptions, mServer.Listening()))
-    , mSelf(mStoreSide ? mStoreSide->mNode.Self().mPeer : mOptions.mPeerListen)
-    , mCore(CoreOptions(mOptions, mSelf), std::move(mChoice))
+    , mStoreSide(aRuntime, mMetrics, mOptions, mServer.Listening())
+    , mSelf(mStoreSide.mNode ? mStoreSide.mNode->Self().mPeer : mOptions.mPeerListen)
+    , mCore(CoreOptions(mOptions, mSelf), MakeTwoChoice())
     , mGroup(aRuntime, mOptions, mSelf, mCore)
     , mBroker(aRuntime, mCore, mMetrics, BrokerLimits(mOptions))
     , mHosts(aRuntime, mOptions.mHostLists, mOptions.mHostPoll, mMetrics,
@@ -139,9 +133,9 @@
 
   void Start()
   {
-    if (mStoreSide) {
-      mStoreSide->mNode.OnChange([this] { TakeSettings(); });
-      mStoreSide->mNode.Start();
+    if (mStoreSide.mNode) {
+      mStoreSide.mNode->OnChange([this] { TakeSettings(); });
+      mStoreSide.mNode->Start();
     }
     mRuntime.Spawn([this] { mHosts.Run(); });
     mRuntime.Spawn([this] { TickForever(); });
@@ -149,19 +143,19 @@
 
   void TakeSettings()
   {
-    mCore.SetSettings(*mStoreSide->mNode.View(), monotonic_clock::now());
+    mCore.SetSettings(*mStoreSide.mNode->View(), monotonic_clock::now());
     mBroker.Pump();
     mBroker.TrimConnections();
   }
 
   void TakeMembers(instant aNow)
   {
-    if (!mStoreSide) {
+    if (!mStoreSide.mNode) {
       return;
     }
-    const freshness_check check = mStoreSide->mNode.Check(aNow);
+    const freshness_check check = mStoreSide.mNode->Check(aNow);
     if (check.IsFresh() && check.mSource == confirmation_source::kStore) {
-      mGroup.OnMembers(mStoreSide->mNode.Members(), aNow);
+      mGroup.OnMembers(mStoreSide.mNode->Members(), aNow);
     }
   }
 
@@ -205,8 +199,8 @@
 
   http_response InForce()
   {
-    return mStoreSide ? mStoreSide->mNode.InForce()
-                      : JsonResponse(200, R"({"member":"","revision":0})");
+    return mStoreSide.mNode ? mStoreSide.mNode->InForce()
+                            : JsonResponse(200, R"({"member":"","revision":0})");
   }
 
   http_response Link() { return Text(200, std::to_string(mGroup.LinkPort())); }
@@ -294,8 +288,8 @@
       LogEvent(events::kRouterCutRequests, { Field("inFlight", mServer.InFlight()) });
       return 1;
     }
-    if (mStoreSide) {
-      mStoreSide->mNode.Leave(monotonic_clock::now() + kLeaveTime);
+    if (mStoreSide.mNode) {
+      mStoreSide.mNode->Leave(monotonic_clock::now() + kLeaveTime);
     }
     LogEvent(events::kRouterStopped);
     return 0;
@@ -307,9 +301,8 @@
   bool mHasHosts = false;
   bool mStopping = false;
   http_server mServer; // answers nothing before the members below are there: no fiber runs yet
-  std::unique_ptr<store_side> mStoreSide;
+  store_side mStoreSide;
   endpoint mSelf; // this router among the members
-  std::unique_ptr<choice_strategy> mChoice = MakeTwoChoice();
   routing_core mCore;
   router_group mGroup;
   request_broker mBroker;
