--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -14,3 +14,6 @@
 "$bench" policy --size target --seeds 10 --strategy cells --strategy first-fit \
   --out "$out/policy-target.json"
 python3 scripts/plot.py "$out/policy.html" "$out"/policy-*.json
+
+# Short requests: the choice of instances, overload, and the router on processes.
+bash scripts/bench_routing.sh "$build"
