Harness: a case's own release time no longer meets the default one

The default was put before the case's flags, so a case with its own gave the flag twice and its routers ended with exit 2 (router_leaving, router_outage, router_restart).

--- a/testsuite/graceful_stop/run.py
+++ b/testsuite/graceful_stop/run.py
@@ -22,7 +22,7 @@
     cluster.start_workers(DOMAINS, per_domain=1)
     cluster.start_instances("tags", DOMAINS, per_domain=1)
     cluster.publish_hosts()
-    cluster.start_routers(2, DOMAINS, extra=("--balancer-lag", "1s"))
+    cluster.start_routers(2, DOMAINS, extra=("--balancer-lag", "1s", "--release-time", "2s"))
     cluster.start_schedulers(2, DOMAINS, extra=("--balancer-lag", "1s"))
     cluster.wait_ready()
     cluster.set("/organisations/ferraresi", {"weight": 1})
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -286,10 +286,10 @@
             member.wait_listening()
         return started
 
-    def start_routers(self, count, domains, extra=("--balancer-lag", "200ms")):
+    def start_routers(self, count, domains,
+                      extra=("--balancer-lag", "200ms", "--release-time", "2s")):
         """A new router waits a release time for its share, so that time is short here."""
-        self.routers = self.start_members(
-            "briarwind-router", "router", count, domains, ("--release-time", "2s", *extra))
+        self.routers = self.start_members("briarwind-router", "router", count, domains, extra)
 
     def start_schedulers(self, count, domains, extra=("--balancer-lag", "200ms")):
         self.schedulers = self.start_members(
