--- a/src/bench/policy_workload.cpp
+++ b/src/bench/policy_workload.cpp
@@ -143,10 +143,10 @@
     spec.mMembers = aMix.mClass == job_class::kLargest
                       ? mSize.mLargestGang
                       : Whole(aMix.mLeastMembers, aMix.mMostMembers);
-    spec.mShape =
-      aMix.mAccelerators == 0
-        ? resource_shape{ 0, 4, 4096 }
-        : resource_shape{ aMix.mAccelerators, 4 * aMix.mAccelerators, 8192 * aMix.mAccelerators };
+    spec.mShape = aMix.mAccelerators == 0
+                    ? resource_shape{ 0, 4, 4096 }
+                    : resource_shape{ aMix.mAccelerators, 4 * aMix.mAccelerators,
+                                      std::int64_t{ 8192 } * aMix.mAccelerators };
     spec.mAdjacency = aMix.mAdjacency;
     const double error = std::exp(Uniform(-1, 1) * std::log(mKnobs.mLargestError / 3));
     const double declared = static_cast<double>(job.mTruth.mTime.count()) *
@@ -171,11 +171,12 @@
     std::ranges::transform(aMix, std::back_inserter(shares), &mix_entry::mShare);
     std::discrete_distribution<std::size_t> kind(shares.begin(), shares.end());
     std::exponential_distribution<double> gap(aPerHour);
-    for (double at = gap(mRandom); at < static_cast<double>(mKnobs.mHours.count());
-         at += gap(mRandom)) {
+    double at = gap(mRandom);
+    while (at < static_cast<double>(mKnobs.mHours.count())) {
       const auto arrives = std::chrono::duration<double, std::ratio<3600>>(at);
       mLoad.mJobs.push_back(
         DrawJob(aMix[kind(mRandom)], std::chrono::duration_cast<duration>(arrives)));
+      at += gap(mRandom);
     }
   }
 
--- a/src/libjobs/core_drain.cpp
+++ b/src/libjobs/core_drain.cpp
@@ -140,6 +140,37 @@
   int mSlots = 0;
 };
 
+using freeing_groups = std::map<std::uint32_t, std::vector<freeing>>;
+
+/// The group in which so many members have room first.
+std::optional<drain> PickFirstReady(job_entry& aJob, freeing_groups& aGroups)
+{
+  std::optional<drain> best;
+  for (auto& [name, group] : aGroups) {
+    std::ranges::stable_sort(group, {}, &freeing::mWhen);
+    int missing = aJob.Spec().mMembers;
+    std::map<worker_index, int> parts;
+    instant ready;
+    for (const freeing& each : group) {
+      const int taken = std::min(missing, each.mSlots);
+      parts[each.mWorker] += taken;
+      missing -= taken;
+      ready = each.mWhen;
+      if (missing == 0) {
+        break;
+      }
+    }
+    if (missing > 0 || (best && best->mReadyBy <= ready)) {
+      continue;
+    }
+    best = drain{ &aJob, {}, ready };
+    for (const auto& [worker, members] : parts) {
+      best->mParts.push_back({ worker, members });
+    }
+  }
+  return best;
+}
+
 } // namespace
 
 /// Picks the group of workers in which the gang has room first, going by the estimates of what runs
@@ -147,7 +178,7 @@
 std::optional<drain> job_core::state::PlanDrain(job_entry& aJob) const
 {
   const resource_shape& shape = aJob.Spec().mShape;
-  std::map<std::uint32_t, std::vector<freeing>> groups;
+  freeing_groups groups;
   for (worker_index i = 0; i < mCluster.Workers().size(); ++i) {
     const worker_slot& worker = mCluster.At(i);
     resource_shape room = worker.mInfo.mCapacity - worker.mHeld -
@@ -180,30 +211,7 @@
       }
     }
   }
-  std::optional<drain> best;
-  for (auto& [name, group] : groups) {
-    std::ranges::stable_sort(group, {}, &freeing::mWhen);
-    int missing = aJob.Spec().mMembers;
-    std::map<worker_index, int> parts;
-    instant ready = mNow;
-    for (const freeing& each : group) {
-      const int taken = std::min(missing, each.mSlots);
-      parts[each.mWorker] += taken;
-      missing -= taken;
-      ready = each.mWhen;
-      if (missing == 0) {
-        break;
-      }
-    }
-    if (missing > 0 || (best && best->mReadyBy <= ready)) {
-      continue;
-    }
-    best = drain{ &aJob, {}, ready };
-    for (const auto& [worker, members] : parts) {
-      best->mParts.push_back({ worker, members });
-    }
-  }
-  return best;
+  return PickFirstReady(aJob, groups);
 }
 
 } // namespace briarwind
