--- a/src/ctl/in_force.cpp
+++ b/src/ctl/in_force.cpp
@@ -1,10 +1,13 @@
 #include "in_force.h"
 
+#include "briarwind/settings_record.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
 #include <limits>
 #include <memory>
+#include <utility>
 
 namespace briarwind {
 
@@ -16,10 +19,11 @@
 constexpr milliseconds kAskStep{ 5 };
 constexpr store_revision kNothingNewer = std::numeric_limits<store_revision>::max();
 
-wire::PeerRequest Question(store_revision aRecord)
+// Members hand over what is newer than aHeld.
+wire::PeerRequest Question(store_revision aHeld, store_revision aRecord)
 {
   wire::PeerRequest request;
-  request.mutable_freshness()->set_held(kNothingNewer);
+  request.mutable_freshness()->set_held(aHeld);
   request.mutable_freshness()->set_record(aRecord);
   return request;
 }
@@ -35,8 +39,9 @@
 
 } // namespace
 
-in_force_poll::in_force_poll(ctl_context& aContext)
+in_force_poll::in_force_poll(ctl_context& aContext, std::optional<awaited_change> aChange)
   : mContext(aContext)
+  , mChange(std::move(aChange))
 {
 }
 
@@ -59,7 +64,8 @@
 void in_force_poll::AskOne(std::size_t aIndex, instant aDeadline)
 {
   const member asked = mAnswers.at(aIndex).mMember;
-  const auto answer = mContext.mLink.Ask(asked.mPeer, Question(mRecord.mRevision), aDeadline);
+  const store_revision held = mChange ? mChange->mRevision - 1 : kNothingNewer;
+  const auto answer = mContext.mLink.Ask(asked.mPeer, Question(held, mRecord.mRevision), aDeadline);
   if (!answer || !answer.value().has_freshness()) {
     return;
   }
@@ -77,6 +83,7 @@
   // record before it.
   for (const wire::StoredValue& each : body.newer()) {
     const stored_value value{ each.key(), each.value(), each.created(), each.modified(), 0 };
+    filled.mHoldsChange = filled.mHoldsChange || HasAwaited(value);
     auto record = Settle([&] { return DecodeMemberRecord(value); });
     if (value.mKey == kRecordKey && record && value.mModified > mRecord.mRevision) {
       mRecord = std::move(record).value();
@@ -84,6 +91,15 @@
   }
 }
 
+bool in_force_poll::HasAwaited(const stored_value& aValue) const
+{
+  if (!mChange || aValue.mKey != mChange->mKey) {
+    return false;
+  }
+  const auto record = Settle([&] { return DecodeSettingsRecord(aValue.mValue); });
+  return record && HasChange(record.value(), mChange->mId);
+}
+
 void in_force_poll::AskAll(instant aDeadline)
 {
   std::vector<member> asked = mLive;
@@ -113,35 +129,45 @@
   }
 }
 
-bool in_force_poll::Holds(const member& aMember, store_revision aRevision) const
+bool in_force_poll::Holds(const member& aMember) const
 {
-  const auto found = std::ranges::find_if(mAnswers, [&](const member_answer& aAnswer) {
-    return aAnswer.mMember.mId == aMember.mId && aAnswer.mReport;
+  return std::ranges::any_of(mAnswers, [&](const member_answer& aAnswer) {
+    return aAnswer.mMember.mId == aMember.mId && aAnswer.mHoldsChange;
   });
-  return found != mAnswers.end() && found->mReport->mHeld >= aRevision;
 }
 
-bool in_force_poll::IsAccepted(store_revision aRevision) const
+bool in_force_poll::IsLive(const member& aMember) const
+{
+  return !mHasMembers || std::ranges::find(mLive, aMember.mId, &member::mId) != mLive.end();
+}
+
+bool in_force_poll::IsAccepted() const
 {
   if (mRecord.mMembers.empty()) {
     return false;
   }
   return HeldByRecord(
-    mRecord, [&](const member& aMember) { return Holds(aMember, aRevision); },
+    mRecord, [&](const member& aMember) { return Holds(aMember); },
     [&](const member& aMember) { return IsReplaced(aMember, mLive); });
 }
 
-std::vector<member_answer> in_force_poll::Without(store_revision aRevision) const
+std::vector<member_answer> in_force_poll::Without() const
 {
   std::vector<member_answer> without;
   std::ranges::copy_if(mAnswers, std::back_inserter(without), [&](const member_answer& aAnswer) {
-    const bool isLive =
-      !mHasMembers || std::ranges::find(mLive, aAnswer.mMember.mId, &member::mId) != mLive.end();
-    return isLive && !Holds(aAnswer.mMember, aRevision);
+    return IsLive(aAnswer.mMember) && !aAnswer.mHoldsChange;
   });
   return without;
 }
 
+bool in_force_poll::AllReached(store_revision aRevision) const
+{
+  return std::ranges::all_of(mAnswers, [&](const member_answer& aAnswer) {
+    const bool reached = aAnswer.mReport && aAnswer.mReport->mHeld >= aRevision;
+    return reached || !IsLive(aAnswer.mMember);
+  });
+}
+
 json::object ToJson(const member_answer& aAnswer)
 {
   const member& who = aAnswer.mMember;
@@ -179,7 +205,7 @@
   for (const member& each : poll.Record().mMembers) {
     record.emplace_back(each.mId);
   }
-  const bool isEverywhere = poll.Without(newest).empty();
+  const bool isEverywhere = poll.AllReached(newest);
   const json::object body{ { "newestRevision", newest },
                            { "everywhere", isEverywhere },
                            { "storeAnswers", poll.HasMembers() },
--- a/src/ctl/settings_commands.cpp
+++ b/src/ctl/settings_commands.cpp
@@ -73,8 +73,7 @@
 bool HoldsChange(const stored_value& aStored, const std::string& aId)
 {
   const auto record = Settle([&] { return DecodeSettingsRecord(aStored.mValue); });
-  return record && std::ranges::find(record.value().mHistory, aId, &change_record::mId) !=
-                     record.value().mHistory.end();
+  return record && HasChange(record.value(), aId);
 }
 
 void AddWithout(json::object& aBody, const std::vector<member_answer>& aWithout)
@@ -98,49 +97,48 @@
 };
 
 void NoteProgress(json::object& aBody, force_progress& aProgress, const in_force_poll& aPoll,
-                  store_revision aRevision, instant aStored)
+                  instant aStored)
 {
-  if (!aProgress.mIsAccepted && aPoll.IsAccepted(aRevision)) {
+  if (!aProgress.mIsAccepted && aPoll.IsAccepted()) {
     aProgress.mIsAccepted = true;
     aBody["acceptedAfterUs"] = MicrosecondsSince(aStored);
   }
-  aProgress.mIsEverywhere = aPoll.HasMembers() && aPoll.Without(aRevision).empty();
+  aProgress.mIsEverywhere = aPoll.HasMembers() && aPoll.Without().empty();
   if (aProgress.mIsAccepted && aProgress.mIsEverywhere) {
     aBody["everywhereAfterUs"] = MicrosecondsSince(aStored);
   }
 }
 
-ctl_result NotInForce(json::object aBody, const in_force_poll& aPoll, store_revision aRevision,
-                      bool aIsAccepted)
+ctl_result NotInForce(json::object aBody, const in_force_poll& aPoll, bool aIsAccepted)
 {
   aBody["state"] =
     aIsAccepted ? "accepted, not yet in force everywhere" : "stored, not yet in force";
   if (aPoll.Record().mMembers.empty()) {
     aBody["why"] = "no scheduler has joined the member record";
   }
-  AddWithout(aBody, aPoll.Without(aRevision));
+  AddWithout(aBody, aPoll.Without());
   return { ctl_status::kNotInForce, std::move(aBody) };
 }
 
 // Waits until a majority of the record holds the change, and with --wait until all live members do.
-ctl_result AwaitForce(ctl_context& aContext, json::object aBody, store_revision aRevision,
+ctl_result AwaitForce(ctl_context& aContext, json::object aBody, awaited_change aChange,
                       instant aDeadline)
 {
   const instant stored = monotonic_clock::now();
-  in_force_poll poll(aContext);
+  in_force_poll poll(aContext, std::move(aChange));
   force_progress progress;
   duration wait = kFirstPoll;
   for (;;) {
     const instant pollEnds = std::min(aDeadline, monotonic_clock::now() + kReadTime);
     poll.ReadMembers(pollEnds);
     poll.AskAll(pollEnds);
-    NoteProgress(aBody, progress, poll, aRevision, stored);
+    NoteProgress(aBody, progress, poll, stored);
     if (progress.mIsAccepted && (progress.mIsEverywhere || !aContext.mOptions.mWait)) {
       aBody["state"] = progress.mIsEverywhere ? "in force everywhere" : "accepted";
       return { ctl_status::kDone, std::move(aBody) };
     }
     if (monotonic_clock::now() + wait >= aDeadline) {
-      return NotInForce(std::move(aBody), poll, aRevision, progress.mIsAccepted);
+      return NotInForce(std::move(aBody), poll, progress.mIsAccepted);
     }
     SleepFor(wait);
     wait = std::min<duration>(kLongestPoll, wait * 2);
@@ -176,7 +174,8 @@
   if (!aPlan.mFindings.empty()) {
     body["findings"] = ToJson(aPlan.mFindings);
   }
-  return AwaitForce(aContext, std::move(body), settled.mRevision, deadline);
+  return AwaitForce(aContext, std::move(body),
+                    { StoreKey(aRequest.mPath), aRequest.mId, settled.mRevision }, deadline);
 }
 
 io_result<settings_path> ReadPath(const std::string& aText)
--- a/src/include/briarwind/settings_record.h
+++ b/src/include/briarwind/settings_record.h
@@ -36,6 +36,9 @@
   bool operator==(const settings_record&) const = default;
 };
 
+/// Whether the record's history remembers the change.
+bool HasChange(const settings_record& aRecord, std::string_view aId);
+
 /// JSON for the store. Whole milliseconds are kept of the times.
 std::string Encode(const settings_record& aRecord);
 
--- a/src/libsettings/settings_book.cpp
+++ b/src/libsettings/settings_book.cpp
@@ -13,11 +13,6 @@
 // Invalid values are rare; this bounds what a store full of them can make a process hold.
 constexpr std::size_t kMostInvalidValues = 100;
 
-bool HasChange(const settings_record& aRecord, const std::string& aId)
-{
-  return std::ranges::find(aRecord.mHistory, aId, &change_record::mId) != aRecord.mHistory.end();
-}
-
 // A store that was restored from an older copy gives its revisions out a second time, so a higher
 // one alone does not show that a value was made from the one that is held.
 bool FollowsFrom(const settings_book::entry& aHeld, const settings_record& aOffered)
--- a/src/libsettings/settings_record.cpp
+++ b/src/libsettings/settings_record.cpp
@@ -70,6 +70,11 @@
 
 } // namespace
 
+bool HasChange(const settings_record& aRecord, std::string_view aId)
+{
+  return std::ranges::find(aRecord.mHistory, aId, &change_record::mId) != aRecord.mHistory.end();
+}
+
 std::string Encode(const settings_record& aRecord)
 {
   boost::system::error_code ignored;
--- a/src/scheduler/scheduler_api.cpp
+++ b/src/scheduler/scheduler_api.cpp
@@ -18,6 +18,8 @@
 constexpr std::string_view kForwardedHeader = "Briarwind-Forwarded";
 constexpr milliseconds kSubmitTime{ 5'000 };
 constexpr milliseconds kForwardTime{ 6'000 };
+constexpr milliseconds kCancelTime{ 4'000 };
+constexpr milliseconds kCancelCheck{ 10 };
 
 struct submission_answer
 {
@@ -198,13 +200,29 @@
                      : NotFound(aRequest.mTarget, "no such job");
 }
 
+// Answered once the cancellation is in the store: a successor must not run the job again after the
+// caller was told.
 http_response scheduler_api::Cancel(const http_request& aRequest, const std::string& aJob)
 {
-  if (!mContext.mEngine->Core().Find(aJob)) {
+  const job_core& core = mContext.mEngine->Core();
+  if (!core.Find(aJob)) {
     return NotFound(aRequest.mTarget, "no such job");
   }
   mContext.mEngine->Take(job_cancelled{ aJob });
-  return JsonResponse(200, json::serialize(json::object{ { "job", aJob } }));
+  const instant until = monotonic_clock::now() + kCancelTime;
+  std::optional<job_view> job = core.Find(aJob);
+  while (job && !(IsFinal(job->mRecord.mState) && job->mStored) && monotonic_clock::now() < until) {
+    SleepFor(kCancelCheck);
+    job = core.Find(aJob);
+  }
+  if (!job || !IsFinal(job->mRecord.mState) || !job->mStored) {
+    http_response response = ErrorResponse(
+      502, { error_kind::kUnknownOutcome, aJob, "not recorded in time; send it again" });
+    response.mHeaders.Set("Briarwind-Outcome", "unknown");
+    return response;
+  }
+  const json::object body{ { "job", aJob }, { "state", ToString(job->mRecord.mState) } };
+  return JsonResponse(200, json::serialize(body));
 }
 
 // A call that certainly did not reach the leader is `not-run`; after the first byte a submission
--- a/src/scheduler/scheduler_engine.cpp
+++ b/src/scheduler/scheduler_engine.cpp
@@ -102,8 +102,9 @@
     }
     const auto known = mContacts.find(each.mName);
     contact& entry = contacts[each.mName];
-    entry = known != mContacts.end() ? known->second : contact{ {}, now, false, false };
+    entry = known != mContacts.end() ? known->second : contact{ {}, {}, now, false, false };
     entry.mAddress = each.mAddress;
+    entry.mDomain = each.mDomain;
   }
   mContacts = std::move(contacts);
   mHasHosts = true;
@@ -112,7 +113,8 @@
 
 void scheduler_engine::OnSettings(std::shared_ptr<const settings_view> aView)
 {
-  Take(settings_changed{ *aView });
+  mView = std::move(aView);
+  Take(settings_changed{ *mView });
 }
 
 void scheduler_engine::OnFreshness(bool aFresh, const std::string& aReason)
@@ -249,6 +251,16 @@
   return permitted;
 }
 
+bool scheduler_engine::IsWithdrawn(const std::string& aWorker) const
+{
+  const auto worker = mContacts.find(aWorker);
+  if (!mView || worker == mContacts.end()) {
+    return true;
+  }
+  const auto domain = mView->mDomains.find(worker->second.mDomain);
+  return domain != mView->mDomains.end() && domain->second.mWithdrawn;
+}
+
 // A successor waits for leases to lapse that it cannot ask about, counting on this: nobody renews
 // them once the leader's own time to live is over.
 bool scheduler_engine::MayRenew(epoch_number aEpoch) const
--- a/src/scheduler/scheduler_engine.h
+++ b/src/scheduler/scheduler_engine.h
@@ -61,6 +61,7 @@
   struct contact
   {
     endpoint mAddress;
+    std::string mDomain;
     instant mLastAnswer;
     bool mAsking = false;
     bool mLost = false;
@@ -83,6 +84,7 @@
   void AskWorker(const std::string& aWorker, Call aCall);
   void WriteRecord(const record_job& aAction);
   bool MayStart(const start_lease& aAction);
+  bool IsWithdrawn(const std::string& aWorker) const;
   bool MayRenew(epoch_number aEpoch) const;
   void Ask(const std::string& aWorker);
   void NoteAnswer(const std::string& aWorker);
@@ -100,6 +102,7 @@
   worker_client mWorkers;
   job_core mCore;
   epoch_number mEpoch = 0;
+  std::shared_ptr<const settings_view> mView;
   bool mHasHosts = false;
   std::uint64_t mLastRequest = 0;
   std::map<std::uint64_t, submission_waiter> mWaiting;
