--- a/src/libjobs/core_state.h
+++ b/src/libjobs/core_state.h
@@ -190,6 +190,8 @@
   void RestoreJob(const restored_record& aRecord, const std::vector<worker_listing>& aWorkers);
 
   void AdoptUnrecorded(job_entry& aJob, const std::vector<worker_listing>& aWorkers);
+  placement AdoptMembers(job_entry& aJob);
+  bool AdoptLease(job_entry& aJob, int aMember, const std::vector<worker_listing>& aWorkers);
   void AdoptAttempt(job_entry& aJob, const std::vector<worker_listing>& aWorkers);
 
   // core_explain.cpp
--- a/src/libjobs/core_takeover.cpp
+++ b/src/libjobs/core_takeover.cpp
@@ -170,23 +170,11 @@
   aJob.mDirty = true;
 }
 
-/// Takes over the members of a recorded attempt. Whatever is not certain counts as still running
-/// until its lease must have lapsed.
-void job_core::state::AdoptAttempt(job_entry& aJob, const std::vector<worker_listing>& aWorkers)
+/// The members of a recorded attempt hold their places on the workers that are still listed.
+placement job_core::state::AdoptMembers(job_entry& aJob)
 {
-  const job_record& record = aJob.mRecord;
-  const int cell = record.mSpec.mGuaranteed ? mCells.FindFor(aJob) : -1;
-  aJob.mTenure = cell >= 0                   ? tenure::kClaim
-                 : !record.mSpec.mRepeatable ? tenure::kFirm
-                 : record.mSpec.mUrgent      ? tenure::kUrgent
-                                             : tenure::kBorrowed;
-  aJob.mCell = cell;
-  aJob.mAnyStarted = true;
-  aJob.mPhase = job_phase::kStarting;
-  aJob.mProgressAtStart = record.mProgress;
-  aJob.mRunningSince = mNow;
   placement place;
-  for (const member_placement& each : record.mPlacements) {
+  for (const member_placement& each : aJob.mRecord.mPlacements) {
     member_state& member = aJob.mMembers.emplace_back();
     member.mWorker = mCluster.Find(each.mWorker);
     member.mLease = each.mLease;
@@ -199,10 +187,53 @@
     member.mHolds = true;
     ++aJob.mMembersHolding;
     const int index = static_cast<int>(aJob.mMembers.size()) - 1;
-    mCluster.Take(member.mWorker, record.mSpec.mShape, aJob.mTenure, { &aJob, index });
+    mCluster.Take(member.mWorker, aJob.Spec().mShape, aJob.mTenure, { &aJob, index });
     member.mPhase = member_phase::kStarting;
     place.push_back({ member.mWorker, 1 });
   }
+  return place;
+}
+
+/// Compares one adopted member with what its worker lists. True when it runs or has finished.
+bool job_core::state::AdoptLease(job_entry& aJob, int aMember,
+                                 const std::vector<worker_listing>& aWorkers)
+{
+  member_state& member = aJob.mMembers[aMember];
+  if (member.mWorker == kNoWorker) {
+    return false;
+  }
+  const listed_lease* const lease = FindLease(aWorkers, NameOf(member.mWorker), member.mLease);
+  if (lease == nullptr) {
+    if (!mCluster.At(member.mWorker).mLost) {
+      MemberGone(aJob, aMember);
+    }
+    return false;
+  }
+  if (lease->mState == lease_state::kReserved) {
+    // Its start never came. Only a release makes sure that it never does.
+    member.mPhase = member_phase::kReserved;
+    return false;
+  }
+  TakeStatus(aJob, aMember, { lease->mLease, lease->mState, lease->mProgress });
+  return member.mPhase == member_phase::kRunning || member.mFinished;
+}
+
+/// Takes over the members of a recorded attempt. Whatever is not certain counts as still running
+/// until its lease must have lapsed.
+void job_core::state::AdoptAttempt(job_entry& aJob, const std::vector<worker_listing>& aWorkers)
+{
+  const job_record& record = aJob.mRecord;
+  const int cell = record.mSpec.mGuaranteed ? mCells.FindFor(aJob) : -1;
+  aJob.mTenure = cell >= 0                   ? tenure::kClaim
+                 : !record.mSpec.mRepeatable ? tenure::kFirm
+                 : record.mSpec.mUrgent      ? tenure::kUrgent
+                                             : tenure::kBorrowed;
+  aJob.mCell = cell;
+  aJob.mAnyStarted = true;
+  aJob.mPhase = job_phase::kStarting;
+  aJob.mProgressAtStart = record.mProgress;
+  aJob.mRunningSince = mNow;
+  const placement place = AdoptMembers(aJob);
   if (cell >= 0) {
     mCells.Claim(cell, aJob);
     mCells.Move(cell, place, mCluster);
@@ -211,30 +242,10 @@
   if (aJob.mTeam != nullptr) {
     aJob.mTeam->mUsedAccelerators += aJob.Accelerators();
   }
-  bool whole = static_cast<int>(aJob.mMembers.size()) == record.mSpec.mMembers;
   const int members = static_cast<int>(aJob.mMembers.size());
+  bool whole = members == record.mSpec.mMembers;
   for (int i = 0; i < members; ++i) {
-    member_state& member = aJob.mMembers[i];
-    if (member.mWorker == kNoWorker) {
-      whole = false;
-      continue;
-    }
-    const listed_lease* const lease = FindLease(aWorkers, NameOf(member.mWorker), member.mLease);
-    if (lease == nullptr) {
-      whole = false;
-      if (!mCluster.At(member.mWorker).mLost) {
-        MemberGone(aJob, i);
-      }
-      continue;
-    }
-    if (lease->mState == lease_state::kReserved) {
-      // Its start never came. Only a release makes sure that it never does.
-      member.mPhase = member_phase::kReserved;
-      whole = false;
-      continue;
-    }
-    TakeStatus(aJob, i, { lease->mLease, lease->mState, lease->mProgress });
-    whole = whole && (member.mPhase == member_phase::kRunning || member.mFinished);
+    whole = AdoptLease(aJob, i, aWorkers) && whole;
   }
   if (!whole) {
     StopAttempt(aJob, after_stop::kQueueAgain, "takeover found the attempt incomplete",
--- a/src/libjobs/run_time_model.cpp
+++ b/src/libjobs/run_time_model.cpp
@@ -17,7 +17,8 @@
 
 int Log2(std::int64_t aValue)
 {
-  return std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(aValue, 0)));
+  return static_cast<int>(
+    std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(aValue, 0))));
 }
 
 } // namespace
