--- a/src/scheduler/scheduler_engine.cpp
+++ b/src/scheduler/scheduler_engine.cpp
@@ -58,11 +58,6 @@
   return kNames.at(static_cast<std::size_t>(aOutcome));
 }
 
-std::vector<worker_info> SortedWorkers(const host_list& aHosts)
-{
-  return WorkersOf(aHosts);
-}
-
 } // namespace
 
 scheduler_engine::scheduler_engine(fiber_runtime& aRuntime, config_store& aStore, metrics& aMetrics,
@@ -108,7 +103,7 @@
   }
   mContacts = std::move(contacts);
   mHasHosts = true;
-  Take(workers_changed{ SortedWorkers(aHosts) });
+  Take(workers_changed{ WorkersOf(aHosts) });
 }
 
 void scheduler_engine::OnSettings(std::shared_ptr<const settings_view> aView)
