--- a/src/include/briarwind/log.h
+++ b/src/include/briarwind/log.h
@@ -52,6 +52,13 @@
 /// Replaces the sink, for tests. An empty function restores standard error.
 void SetLogSink(void (*aSink)(std::string_view aLine));
 
+/// Lines go to standard output from now on, at most aLinesPerSecond of them on average. Writing never
+/// waits: what the reader of the output does not take is dropped and counted.
+void LogToStandardOutput(int aLinesPerSecond);
+
+/// Lines dropped by the sink of LogToStandardOutput since the last call.
+std::uint64_t TakeDroppedLines();
+
 /// One line of the catalogue page for each kind.
 std::string EventCatalogue(std::span<const event_kind> aKinds);
 
--- a/src/include/briarwind/time.h
+++ b/src/include/briarwind/time.h
@@ -18,6 +18,19 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
+/// Counts on while the host is suspended, as the monotonic clock does not: what others may rely on
+/// only for a time, such as a store lease, is measured by it.
+struct boot_clock
+{
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<boot_clock>;
+  static constexpr bool is_steady = true;
+  static time_point now() noexcept;
+};
+using boot_instant = boot_clock::time_point;
+
 /// Time of day for logs and records only; never for a deadline.
 using wall_time = std::chrono::system_clock::time_point;
 
--- /dev/null
+++ b/src/include/briarwind/work_core.h
@@ -0,0 +1,202 @@
+#pragma once
+
+#include "briarwind/config_store.h"
+#include "briarwind/work_model.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// Decisions of the one host that leads: which task runs where, what is stopped for it, and what
+/// has to be in the store before an order may leave. No input, output or clock of its own.
+
+namespace briarwind {
+
+/// Bounds that the deployment sets, and limits of our own.
+struct work_options
+{
+  milliseconds mMaxHold{ 10'000 }; ///< longest lease that workers grant; from the deployment
+  milliseconds mStopTime{ 200 };   ///< a stop takes at most this; from the deployment
+  milliseconds mGangTimeout{
+    3'000
+  }; ///< members wait this long for each other; from the deployment
+  milliseconds mCheckpointEvery{ 2'000 }; ///< of work; from the deployment
+  double mRemoteFactor = 3; ///< slowdown away from data or over racks; from the deployment
+  /// A worker's clock may be 2% slow; the rest covers rounding.
+  double mClockSlack = 1.03;
+  /// A report without progress of a run for this long counts as a stall: a task of the longest
+  /// kind shows a new percent four times within it.
+  milliseconds mStallTime{ 2'500 };
+  /// How long a worker that failed or refused a run gets no further ones; doubles with each in a
+  /// row up to the cap. The first is shorter than any task, the cap a tenth of a lease's life more.
+  milliseconds mDistrust{ 1'000 };
+  milliseconds mDistrustCap{ 8'000 };
+  /// Waits this long for a better place (data, one rack) than the one that is free now.
+  milliseconds mLocalityWait{ 1'500 };
+  /// A look waits this long for the next end; below the limit of the protocol (2 s).
+  milliseconds mLookWait{ 1'500 };
+  /// Ends are remembered this long after a job is over; from the deployment, with a margin.
+  milliseconds mKeepFinished{ 150'000 };
+};
+
+/// Order to start one run.
+struct start_run
+{
+  run_id mRun;
+  std::string mWorker;
+  std::string mPayload;
+  std::string mCheckpoint;
+};
+
+/// Order to stop one run.
+struct stop_run
+{
+  run_id mRun;
+  std::string mWorker;
+};
+
+enum class work_note_kind : std::uint8_t
+{
+  kJobKnown,       ///< a job came in
+  kStarted,        ///< the record of a placement is stored and the order leaves
+  kStartFailed,    ///< an order was refused or stayed without an answer
+  kEnded,          ///< a run ended
+  kEvicted,        ///< a run is stopped for another job
+  kStopped,        ///< a run is stopped for another reason
+  kLost,           ///< a run is gone without an end
+  kJobOver,        ///< a job reached a final state
+  kWorkerRestored, ///< a worker answered for the first time in this life
+  kWorkerLost,     ///< the leases of a silent worker have run out
+  kWorkerDistrusted,
+};
+
+std::string_view ToString(work_note_kind aKind);
+
+/// For logs and counters.
+struct work_note
+{
+  work_note_kind mKind = work_note_kind::kJobKnown;
+  std::string mJob;
+  std::string mTask; ///< `job.occurrence.step.index`
+  std::string mWorker;
+  std::string mReason;
+  milliseconds mAge{ 0 }; ///< of the worker's last report, or of the job at its end
+};
+
+using work_action = std::variant<start_run, stop_run, work_note>;
+
+/// What to ask one worker next.
+struct look_plan
+{
+  std::string mAddress;
+  std::int64_t mIncarnation = 0;
+  milliseconds mLeaseUntil{ 0 }; ///< on the worker's clock; 0: leave as it is
+  std::int64_t mAcknowledged = 0;
+  milliseconds mWait{ 0 };
+};
+
+/// One record that is to be written under `job`, when its revision is still mExpected.
+struct progress_write
+{
+  std::string mJob;
+  store_revision mExpected = 0;
+  std::string mValue;
+};
+
+/// A job as the store holds it when a leader takes over.
+struct stored_job
+{
+  work_job mJob;
+  bool mCancelled = false;
+  std::string mProgress; ///< empty: none was written
+  store_revision mProgressRevision = 0;
+};
+
+struct work_counts
+{
+  int mJobs = 0;
+  int mWaitingTasks = 0;
+  int mLiveRuns = 0;
+  int mWorkers = 0;
+  int mWorkersInTouch = 0;
+};
+
+/// The pure core. Not thread safe.
+class work_core
+{
+public:
+  explicit work_core(const work_options& aOptions = {});
+  ~work_core();
+  work_core(const work_core&) = delete;
+  work_core& operator=(const work_core&) = delete;
+
+  /// Begins a reign. Everything known before is dropped.
+  /// @param aEpoch higher than that of any leader before; workers obey the highest
+  void BeginReign(std::int64_t aEpoch, instant aNow);
+  /// Ends it: nothing is decided and no action comes out until the next one.
+  void EndReign();
+  std::int64_t Epoch() const;
+
+  void SetSettings(const work_settings& aSettings, instant aNow);
+  /// The whole registry as read now. Workers that are missing keep their runs until the runs'
+  /// leases have surely ended.
+  void SetWorkers(const std::vector<registered_worker>& aWorkers, instant aNow);
+  /// @param aWallNow decides which occurrences of timed jobs are due
+  void AddJob(const stored_job& aJob, instant aNow, wall_time aWallNow);
+  void CancelJob(const std::string& aJob, instant aNow);
+
+  void OnStarted(const start_run& aOrder, start_outcome aOutcome, instant aSent, instant aNow);
+  void OnStopped(const stop_run& aOrder, stop_outcome aOutcome, instant aSent, instant aNow);
+  /// @param aSent when the question left, which bounds what the answer can know
+  void OnReport(const std::string& aWorker, const worker_report& aReport, instant aSent,
+                instant aNow);
+  /// A look without an answer.
+  void OnSilence(const std::string& aWorker, instant aNow);
+
+  /// Places what can be placed and times out what is overdue.
+  void Decide(instant aNow, wall_time aWallNow);
+
+  std::vector<work_action> TakeActions();
+  /// Records that must be written before more can happen; at most aMost, one a job.
+  std::vector<progress_write> TakeWrites(std::size_t aMost);
+  void OnWritten(const std::string& aJob, store_revision aRevision, instant aNow);
+  /// The record was not written; it will be offered again, over aCurrent.
+  void OnNotWritten(const std::string& aJob, store_revision aCurrent);
+  /// Jobs whose final state has been stored for longer than it has to be shown.
+  std::vector<std::string> TakeForgotten(instant aNow);
+
+  /// Nothing when the worker needs no look at present.
+  std::optional<look_plan> PlanLook(const std::string& aWorker, instant aNow);
+  std::vector<std::string> Workers() const;
+  /// The end of a lease that starts now, on the worker's clock. To be asked right before the order
+  /// leaves: the worker counts as holding such a lease from now on.
+  milliseconds GrantLease(const std::string& aWorker, instant aNow);
+  /// `ip:port` as registered; empty when it is not known any more.
+  std::string Address(const std::string& aWorker) const;
+
+  /// Accepted jobs of a queue, timed ones aside, of which nothing has been started.
+  int CountWaiting(const std::string& aQueue) const;
+  std::optional<work_state> State(const std::string& aJob) const;
+  work_counts Counts() const;
+
+private:
+  struct state;
+  std::unique_ptr<state> mState;
+};
+
+/// JSON form of an accepted job, as the store keeps it.
+std::string FormatWorkJob(const work_job& aJob);
+result<work_job> ParseWorkJob(std::string_view aJson);
+
+/// The state in a stored progress record; kQueued when it has none.
+work_state ProgressState(std::string_view aRecord);
+
+/// `job.occurrence.step.index`
+std::string ToString(const task_id& aTask);
+/// Fails with kInvalid when the text is not of that form.
+result<task_id> ParseTaskId(std::string_view aText);
+
+} // namespace briarwind
--- /dev/null
+++ b/src/include/briarwind/worker_gateway.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "briarwind/error.h"
+#include "briarwind/work_core.h"
+
+#include <string>
+#include <vector>
+
+namespace briarwind {
+
+/// Orders to workers. Every call may suspend the fiber.
+class worker_gateway
+{
+public:
+  virtual ~worker_gateway() = default;
+
+  /// @param aLeaseUntil on the worker's clock: the start is refused after it, and all that runs
+  ///        there is held until it
+  virtual start_outcome Start(const std::string& aAddress, const start_run& aOrder,
+                              std::int64_t aEpoch, milliseconds aLeaseUntil, instant aDeadline) = 0;
+  virtual stop_outcome Stop(const std::string& aAddress, const stop_run& aOrder,
+                            std::int64_t aEpoch, instant aDeadline) = 0;
+  /// Holds leases, acknowledges ends and asks what runs. kConflict: the worker obeys a newer
+  /// leader.
+  virtual io_result<worker_report> Look(const std::string& aWorker, const look_plan& aPlan,
+                                        std::int64_t aEpoch, instant aDeadline) = 0;
+};
+
+/// The workers that are there, as the platform lists them.
+class worker_registry
+{
+public:
+  virtual ~worker_registry() = default;
+  virtual io_result<std::vector<registered_worker>> Read(instant aDeadline) = 0;
+};
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libcontrol/caller_desk.cpp
@@ -0,0 +1,120 @@
+#include "caller_desk.h"
+
+#include "control_events.h"
+
+#include <array>
+
+namespace briarwind {
+
+std::string_view ToString(call_refusal aRefusal)
+{
+  static constexpr std::array<std::string_view, 3> kNames{ "no-settings", "unknown-queue",
+                                                           "unknown-key" };
+  return kNames.at(static_cast<std::size_t>(aRefusal));
+}
+
+caller_desk::caller_desk(job_intake& aIntake, const settings_view& aSettings, metrics& aMetrics,
+                         waiting_count aWaiting)
+  : mIntake(aIntake)
+  , mSettings(aSettings)
+  , mMetrics(aMetrics)
+  , mWaiting(std::move(aWaiting))
+{
+}
+
+std::variant<admitted_call, call_refusal> caller_desk::Admit(std::string_view aHost,
+                                                             std::string_view aPath,
+                                                             std::string_view aKey) const
+{
+  const operator_settings& settings = mSettings.Settings();
+  if (settings.mVersion == 0) {
+    return call_refusal::kNoSettings;
+  }
+  const caller_route* route = settings.Find(aHost, aPath);
+  if (route == nullptr) {
+    return call_refusal::kUnknownQueue;
+  }
+  const auto key = settings.mOrganisationOfKey.find(aKey);
+  if (key == settings.mOrganisationOfKey.end() && !route->mPublic) {
+    return call_refusal::kUnknownKey;
+  }
+  return admitted_call{ *route,
+                        key == settings.mOrganisationOfKey.end() ? std::string() : key->second,
+                        std::string(aPath.substr(route->mPrefix.size())) };
+}
+
+intake_answer caller_desk::Submit(const admitted_call& aCall, work_job aJob, instant aDeadline)
+{
+  const instant begun = monotonic_clock::now();
+  aJob.mId = aCall.mRest;
+  aJob.mQueue = aCall.mRoute.mQueue;
+  aJob.mOrganisation = aCall.mOrganisation;
+  aJob.mPolicy = aCall.mRoute.mPolicy;
+  aJob.mAccepted = std::chrono::system_clock::now();
+  const intake_answer answer = mIntake.Accept(aJob, aDeadline);
+  NoteCall("submit", aJob.mId, answer, begun);
+  return answer;
+}
+
+intake_answer caller_desk::Cancel(const admitted_call& aCall, instant aDeadline)
+{
+  const instant begun = monotonic_clock::now();
+  const intake_answer answer = mIntake.Cancel(aCall.mRest, aDeadline);
+  NoteCall("cancel", aCall.mRest, answer, begun);
+  return answer;
+}
+
+state_answer caller_desk::State(const admitted_call& aCall, instant aDeadline)
+{
+  const instant begun = monotonic_clock::now();
+  const state_answer answer = mIntake.State(aCall.mRest, aDeadline);
+  mMetrics.Observe(kCallerTime, monotonic_clock::now() - begun, "state");
+  if (!answer.mReached) {
+    NoteRefusal(aCall.mRest, "state unreadable");
+  }
+  return answer;
+}
+
+std::optional<int> caller_desk::CountWaiting(const admitted_call& aCall, instant aDeadline)
+{
+  const auto count = mWaiting(aCall.mRoute.mQueue, aDeadline);
+  if (!count) {
+    NoteRefusal(aCall.mRoute.mQueue, "no leader in reach");
+  }
+  return count;
+}
+
+void caller_desk::NoteRefusal(std::string_view aJob, std::string_view aReason)
+{
+  mMetrics.Count(kCallerRefusals, aReason);
+  LogEvent(kJobRefused, { Field("job", aJob), Field("reason", aReason),
+                          Field("settings", mSettings.Settings().mVersion) });
+}
+
+void caller_desk::NoteCall(std::string_view aCall, const std::string& aJob,
+                           const intake_answer& aAnswer, instant aBegun)
+{
+  const auto took = monotonic_clock::now() - aBegun;
+  mMetrics.Observe(kCallerTime, took, aCall);
+  const log_field time = Field("took_ms", std::chrono::duration_cast<milliseconds>(took).count());
+  const log_field settings = Field("settings", mSettings.Settings().mVersion);
+  switch (aAnswer.mOutcome) {
+    case intake_outcome::kAccepted:
+      mMetrics.Count(kCallerCalls, aCall);
+      LogEvent(aCall == "cancel" ? kJobCancelAsked : kJobAccepted,
+               { Field("job", aJob), time, settings });
+      return;
+    case intake_outcome::kUnclear:
+      mMetrics.Count(kCallerCalls, "unclear");
+      LogEvent(kJobUnclear, { Field("job", aJob), Field("call", aCall),
+                              Field("reason", aAnswer.mReason), time, settings });
+      return;
+    case intake_outcome::kNotRun:
+    case intake_outcome::kUnknownJob:
+      NoteRefusal(aJob,
+                  aAnswer.mOutcome == intake_outcome::kNotRun ? aAnswer.mReason : "unknown job");
+      return;
+  }
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libcontrol/control_node.cpp
@@ -0,0 +1,214 @@
+#include "briarwind/control_node.h"
+
+#include "caller_desk.h"
+#include "control_events.h"
+#include "detour_store.h"
+#include "work_driver.h"
+
+#include "briarwind/http_server.h"
+#include "briarwind/json_fields.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <ranges>
+
+namespace briarwind {
+
+namespace json = boost::json;
+
+namespace {
+
+// The balancer asks once a second and needs two refusals; the rest is for the way.
+constexpr milliseconds kOutOfRotation{ 2'600 };
+// What is left of the grace time once callers were answered is kept for the exit.
+constexpr milliseconds kExitMargin{ 700 };
+constexpr milliseconds kOrdersDeadline{ 700 };
+constexpr milliseconds kOrdersPoll{ 10 };
+constexpr std::string_view kStorePath = "/v1/store/";
+constexpr std::string_view kWaitingPath = "/v1/waiting";
+
+http_response Plain(unsigned aStatus, std::string aText)
+{
+  http_response response;
+  response.mStatus = aStatus;
+  response.mHeaders.Set("Content-Type", "text/plain");
+  response.mBody = std::move(aText);
+  return response;
+}
+
+} // namespace
+
+struct control_node::state
+{
+  state(fiber_runtime& aRuntime, metrics& aMetrics, const node_settings& aSettings,
+        const control_adapters& aAdapters)
+    : mRuntime(aRuntime)
+    , mMetrics(aMetrics)
+    , mSettings(aSettings)
+    , mAdapters(aAdapters)
+    , mStore(aRuntime, *aAdapters.mStore, aMetrics, [this] { return PeerAddresses(); })
+    , mRegistry(aAdapters.mMakeRegistry(mStore))
+    , mView(aRuntime, mStore, aMetrics, *aAdapters.mOperators)
+    , mIntake(mStore, aMetrics)
+    , mDesk(mIntake, mView, aMetrics,
+            [this](const std::string& aQueue, instant aDeadline) {
+              return CountWaiting(aQueue, aDeadline);
+            })
+    , mDriver(aRuntime, mStore, *aAdapters.mWorkers, *mRegistry, aMetrics, aSettings.mWork)
+    , mLead(aRuntime, mStore, aMetrics, aSettings.mName, ToString(aSettings.mPeers),
+            aSettings.mProcessorShare,
+            { [this](std::int64_t /*aEpoch*/) { Gained(); }, [this] { mDriver.Abdicate(); } })
+    , mPeerPool(aRuntime)
+    , mPeers(aRuntime, aSettings.mPeers,
+             [this](const http_request& aRequest) { return AnswerPeer(aRequest); })
+    , mReadiness(aRuntime, aSettings.mReadiness,
+                 [this](const http_request&) { return Plain(IsReady() ? 200 : 503, {}); })
+    , mCallers(aRuntime, aSettings.mCallers, [this](const http_request& aRequest) {
+      return mAdapters.mAnswerCaller(mDesk, aRequest);
+    })
+  {
+    mView.OnChange([this] {
+      mDriver.SetSettings(mView.ForWork());
+      NoteReadiness();
+    });
+  }
+
+  void Start()
+  {
+    LogEvent(kNodeStarted, { Field("name", mSettings.mName), Field("domain", mSettings.mDomain),
+                             Field("callers", ToString(mSettings.mCallers)),
+                             Field("peers", ToString(mSettings.mPeers)),
+                             Field("store", ToString(mSettings.mStore)) });
+    mView.Start();
+    mLead.Start();
+  }
+
+  bool IsReady() const { return !mStopping && mView.Settings().mVersion > 0; }
+
+  void NoteReadiness()
+  {
+    if (std::exchange(mWasReady, IsReady()) != IsReady()) {
+      LogEvent(kNodeReady, { Field("ready", IsReady()), Field("stopping", mStopping),
+                             Field("settings", mView.Settings().mVersion) });
+    }
+  }
+
+  void Gained()
+  {
+    mRuntime.Spawn([this] { mDriver.Reign(mLead, [this] { mLead.Deposed(); }); });
+  }
+
+  std::vector<std::string> PeerAddresses() const
+  {
+    std::vector<std::string> others;
+    const std::string own = ToString(mSettings.mPeers);
+    std::ranges::copy_if(mLead.Peers() | std::views::values, std::back_inserter(others),
+                         [&](const std::string& aAddress) { return aAddress != own; });
+    // Each host begins with another peer, so that one peer does not carry for all.
+    const std::size_t first =
+      others.empty() ? 0 : std::hash<std::string>{}(mSettings.mName) % others.size();
+    std::ranges::rotate(others, others.begin() + static_cast<std::ptrdiff_t>(first));
+    return others;
+  }
+
+  std::optional<int> CountWaiting(const std::string& aQueue, instant aDeadline)
+  {
+    if (mDriver.IsActing()) {
+      return mDriver.CountWaiting(aQueue);
+    }
+    const auto leader = Settle([&] { return ParseEndpoint(mLead.LeaderAddress()); });
+    if (!leader || leader.value() == mSettings.mPeers) {
+      return std::nullopt;
+    }
+    http_request request;
+    request.mMethod = "POST";
+    request.mTarget = std::string(kWaitingPath);
+    request.mBody = aQueue;
+    const auto answer = mPeerPool.Call(leader.value(), request, aDeadline);
+    const bool counted = answer && answer.value().mStatus == 200;
+    mMetrics.Count(kPeerCalls, counted ? "answered" : "failed");
+    if (!counted) {
+      return std::nullopt;
+    }
+    const auto object = Settle([&] { return ParseJsonObject(answer.value().mBody); });
+    return object ? std::optional(static_cast<int>(NumberField(object.value(), "waiting")))
+                  : std::nullopt;
+  }
+
+  http_response AnswerPeer(const http_request& aRequest)
+  {
+    const std::string_view path = TargetPath(aRequest.mTarget);
+    if (path.starts_with(kStorePath)) {
+      return mStore.Serve(path.substr(kStorePath.size()), aRequest.mBody);
+    }
+    if (path == kWaitingPath) {
+      return mDriver.IsActing()
+               ? JsonResponse(200, json::serialize(json::object{
+                                     { "waiting", mDriver.CountWaiting(aRequest.mBody) } }))
+               : Plain(503, "not leading");
+    }
+    if (path == "/metrics") {
+      return Plain(200, mMetrics.Render());
+    }
+    return Plain(404, "no such path");
+  }
+
+  // The lead is given away first: the next leader has the more of the grace time to take over in.
+  int Stop(int aSignal)
+  {
+    const instant end = monotonic_clock::now() + mSettings.mGrace - kExitMargin;
+    mStopping = true;
+    LogEvent(kNodeStopping, { Field("signal", aSignal), Field("leads", mLead.Leads()) });
+    NoteReadiness();
+    const instant ordersEnd = monotonic_clock::now() + kOrdersDeadline;
+    if (mLead.Leads()) {
+      mDriver.Pause();
+      while (mDriver.OrdersUnderWay() > 0 && monotonic_clock::now() < ordersEnd) {
+        SleepFor(kOrdersPoll);
+      }
+    }
+    mLead.Resign();
+    SleepUntil(std::min(end, monotonic_clock::now() + kOutOfRotation));
+    const bool drained = mCallers.Drain(end);
+    LogEvent(kNodeStopped, { Field("drained", drained) });
+    return drained ? 0 : 1;
+  }
+
+  fiber_runtime& mRuntime;
+  metrics& mMetrics;
+  const node_settings& mSettings;
+  control_adapters mAdapters;
+  bool mStopping = false;
+  bool mWasReady = false;
+  detour_store mStore;
+  std::unique_ptr<worker_registry> mRegistry;
+  settings_view mView;
+  job_intake mIntake;
+  caller_desk mDesk;
+  work_driver mDriver;
+  leadership mLead;
+  http_pool mPeerPool;
+  http_server mPeers;
+  http_server mReadiness;
+  http_server mCallers;
+};
+
+control_node::control_node(fiber_runtime& aRuntime, metrics& aMetrics,
+                           const node_settings& aSettings, const control_adapters& aAdapters)
+  : mState(std::make_unique<state>(aRuntime, aMetrics, aSettings, aAdapters))
+{
+}
+
+control_node::~control_node() = default;
+
+int control_node::Run()
+{
+  mState->Start();
+  constexpr std::array kStopSignals{ SIGTERM, SIGINT };
+  return mState->Stop(mState->mRuntime.WaitForSignal(kStopSignals));
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libcontrol/detour_store.cpp
@@ -0,0 +1,200 @@
+#include "detour_store.h"
+
+#include "control_events.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarwind {
+
+namespace {
+
+// Calls in a row that have to fail before a peer is asked: one failure is often a lost answer.
+constexpr int kFailuresBeforeDetour = 2;
+constexpr milliseconds kProbeEvery{ 700 };
+constexpr milliseconds kProbeDeadline{ 400 };
+constexpr std::string_view kProbeKey = "briarwind/hosts/leader";
+// A watch at a peer may take this much longer than it waits.
+constexpr milliseconds kWatchSlack{ 500 };
+
+bool MeansReached(error_kind aKind)
+{
+  return aKind == error_kind::kNotFound || aKind == error_kind::kInvalid ||
+         aKind == error_kind::kTooLarge;
+}
+
+milliseconds TimeLeft(instant aDeadline)
+{
+  return std::max(milliseconds(1),
+                  std::chrono::duration_cast<milliseconds>(aDeadline - monotonic_clock::now()));
+}
+
+} // namespace
+
+detour_store::detour_store(fiber_runtime& aRuntime, record_store& aDirect, metrics& aMetrics,
+                           peer_list aPeers)
+  : mRuntime(aRuntime)
+  , mDirect(aDirect)
+  , mMetrics(aMetrics)
+  , mPeers(std::move(aPeers))
+  , mPool(aRuntime)
+  , mLastDirect(monotonic_clock::now())
+{
+}
+
+// A host that is turned away itself says so at once; it asks nobody on behalf of others.
+http_response detour_store::Serve(std::string_view aName, std::string_view aBody)
+{
+  if (!IsDirect()) {
+    return JsonResponse(503,
+                        R"({"kind":"unavailable","what":"the store turns this host away too"})");
+  }
+  return store_relay::Serve(mDirect, aName, aBody);
+}
+
+template<class Value, class Direct, class Read>
+io_result<Value> detour_store::Route(const Direct& aDirect, const store_relay::call& aCall,
+                                     Read aRead, instant aDeadline)
+{
+  if (IsDirect()) {
+    io_result<Value> answer = aDirect();
+    NoteDirect(answer.has_value() || MeansReached(answer.error().mKind));
+    return answer;
+  }
+  const auto sent = AskPeer(aCall, aDeadline);
+  if (!sent) {
+    NextPeer();
+    return boost::outcome_v2::failure(sent.error());
+  }
+  io_result<Value> answer = aRead(sent.value());
+  const bool reached = answer.has_value() || MeansReached(answer.error().mKind);
+  mMetrics.Count(kStoreDetours, reached ? "answered" : ToString(answer.error().mKind));
+  if (!reached) {
+    NextPeer();
+  }
+  return answer;
+}
+
+io_result<http_response> detour_store::AskPeer(const store_relay::call& aCall, instant aDeadline)
+{
+  const auto peer = Settle([&] { return ParseEndpoint(mPeer); });
+  if (!peer) {
+    return IoError(error_kind::kUnavailable, mPeer, "no address of a peer");
+  }
+  http_request request;
+  request.mMethod = "POST";
+  request.mTarget = "/v1/store/" + aCall.mName;
+  request.mBody = aCall.mBody;
+  request.mHeaders.Set("Content-Type", "application/json");
+  return mPool.Call(peer.value(), request, aDeadline);
+}
+
+void detour_store::NoteDirect(bool aWorked)
+{
+  if (aWorked) {
+    mFailures = 0;
+    mLastDirect = monotonic_clock::now();
+    return;
+  }
+  ++mFailures;
+  if (mFailures < kFailuresBeforeDetour || !IsDirect()) {
+    return;
+  }
+  NextPeer();
+  if (!IsDirect()) {
+    LogEvent(kStoreDetour, { Field("peer", mPeer), Field("failures", mFailures),
+                             Field("silent_ms", std::chrono::duration_cast<milliseconds>(
+                                                  monotonic_clock::now() - mLastDirect)
+                                                  .count()) });
+    mRuntime.Spawn([this] { ProbeLoop(); });
+  }
+}
+
+void detour_store::NextPeer()
+{
+  const std::vector<std::string> peers = mPeers();
+  if (!peers.empty()) {
+    mPeer = peers[mNextPeer++ % peers.size()];
+  }
+}
+
+void detour_store::ProbeLoop()
+{
+  while (!IsDirect()) {
+    SleepFor(kProbeEvery);
+    const auto probe = mDirect.Get(kProbeKey, monotonic_clock::now() + kProbeDeadline);
+    if (probe) {
+      mPeer.clear();
+      mFailures = 0;
+      mLastDirect = monotonic_clock::now();
+      LogEvent(kStoreDirect, {});
+    }
+  }
+}
+
+io_result<std::optional<stored_value>> detour_store::Get(std::string_view aKey, instant aDeadline)
+{
+  return Route<std::optional<stored_value>>([&] { return mDirect.Get(aKey, aDeadline); },
+                                            store_relay::GetCall(aKey, TimeLeft(aDeadline)),
+                                            store_relay::GetAnswer, aDeadline);
+}
+
+io_result<store_listing> detour_store::List(std::string_view aPrefix, instant aDeadline)
+{
+  return Route<store_listing>([&] { return mDirect.List(aPrefix, aDeadline); },
+                              store_relay::ListCall(aPrefix, TimeLeft(aDeadline)),
+                              store_relay::ListAnswer, aDeadline);
+}
+
+io_result<watch_answer> detour_store::Watch(std::string_view aPrefix, store_revision aAfter,
+                                            milliseconds aWait)
+{
+  return Route<watch_answer>([&] { return mDirect.Watch(aPrefix, aAfter, aWait); },
+                             store_relay::WatchCall(aPrefix, aAfter, aWait),
+                             store_relay::WatchAnswer,
+                             monotonic_clock::now() + aWait + kWatchSlack);
+}
+
+io_result<transaction_result> detour_store::Commit(const store_transaction& aTransaction,
+                                                   instant aDeadline)
+{
+  return Route<transaction_result>([&] { return mDirect.Commit(aTransaction, aDeadline); },
+                                   store_relay::CommitCall(aTransaction, TimeLeft(aDeadline)),
+                                   store_relay::CommitAnswer, aDeadline);
+}
+
+io_result<granted_lease> detour_store::Grant(milliseconds aTimeToLive, instant aDeadline)
+{
+  return Route<granted_lease>([&] { return mDirect.Grant(aTimeToLive, aDeadline); },
+                              store_relay::GrantCall(aTimeToLive, TimeLeft(aDeadline)),
+                              store_relay::GrantAnswer, aDeadline);
+}
+
+io_result<milliseconds> detour_store::Renew(store_lease aLease, instant aDeadline)
+{
+  const auto read = [](const http_response& aAnswer) -> io_result<milliseconds> {
+    const auto lease = store_relay::GrantAnswer(aAnswer);
+    if (!lease) {
+      return boost::outcome_v2::failure(lease.error());
+    }
+    return lease.value().mTimeToLive;
+  };
+  return Route<milliseconds>([&] { return mDirect.Renew(aLease, aDeadline); },
+                             store_relay::LeaseCall("renew", aLease, TimeLeft(aDeadline)), read,
+                             aDeadline);
+}
+
+io_result<void> detour_store::End(store_lease aLease, instant aDeadline)
+{
+  const auto read = [](const http_response& aAnswer) -> io_result<void> {
+    const auto lease = store_relay::GrantAnswer(aAnswer);
+    if (!lease) {
+      return boost::outcome_v2::failure(lease.error());
+    }
+    return boost::outcome_v2::success();
+  };
+  return Route<void>([&] { return mDirect.End(aLease, aDeadline); },
+                     store_relay::LeaseCall("end", aLease, TimeLeft(aDeadline)), read, aDeadline);
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libcontrol/settings_view.cpp
@@ -0,0 +1,99 @@
+#include "settings_view.h"
+
+#include "control_events.h"
+
+#include <fmt/ranges.h>
+
+namespace briarwind {
+
+settings_view::settings_view(fiber_runtime& aRuntime, record_store& aStore, metrics& aMetrics,
+                             const operator_settings_codec& aCodec)
+  : mRuntime(aRuntime)
+  , mCodec(aCodec)
+  , mFollower(aStore, aMetrics, aCodec.Prefix(),
+              { [this](const store_listing& aListing) { Listed(aListing); },
+                [this](const std::vector<store_change>& aChanges) { Changed(aChanges); },
+                [] { return true; } })
+{
+}
+
+void settings_view::Start()
+{
+  mRuntime.Spawn([this] { mFollower.Run(); });
+}
+
+work_settings settings_view::ForWork() const
+{
+  return mSettings.ForWork({ mWithdrawn.begin(), mWithdrawn.end() });
+}
+
+void settings_view::Listed(const store_listing& aListing)
+{
+  std::set<std::string> withdrawn;
+  bool changed = false;
+  for (const stored_value& each : aListing.mValues) {
+    if (const auto domain = mCodec.WithdrawnDomain(each.mKey)) {
+      withdrawn.insert(*domain);
+    } else {
+      changed = Apply(each) || changed;
+    }
+  }
+  if (withdrawn != mWithdrawn) {
+    mWithdrawn = std::move(withdrawn);
+    NoteDomains();
+    changed = true;
+  }
+  if (changed && mObserver) {
+    mObserver();
+  }
+}
+
+void settings_view::Changed(const std::vector<store_change>& aChanges)
+{
+  bool changed = false;
+  for (const store_change& each : aChanges) {
+    if (const auto domain = mCodec.WithdrawnDomain(each.mValue.mKey)) {
+      const bool moved =
+        each.mDeleted ? mWithdrawn.erase(*domain) > 0 : mWithdrawn.insert(*domain).second;
+      if (moved) {
+        NoteDomains();
+      }
+      changed = changed || moved;
+    } else if (!each.mDeleted) {
+      changed = Apply(each.mValue) || changed;
+    }
+  }
+  if (changed && mObserver) {
+    mObserver();
+  }
+}
+
+bool settings_view::Apply(const stored_value& aValue)
+{
+  if (aValue.mModified <= mSettingsRevision) {
+    return false;
+  }
+  auto read = mCodec.ReadSettings(aValue);
+  if (!read) {
+    LogEvent(kSettingsUnreadable, { Field("key", aValue.mKey), Field("revision", aValue.mModified),
+                                    Field("what", std::string_view(read.error().mWhat)) });
+    return false;
+  }
+  if (!read.value() || read.value()->mVersion <= mSettings.mVersion) {
+    return false;
+  }
+  mSettings = std::move(*read.value());
+  mSettingsRevision = aValue.mModified;
+  LogEvent(kSettingsInForce,
+           { Field("version", mSettings.mVersion), Field("revision", mSettingsRevision),
+             Field("routes", mSettings.mRoutes.size()),
+             Field("keys", mSettings.mOrganisationOfKey.size()) });
+  return true;
+}
+
+void settings_view::NoteDomains()
+{
+  LogEvent(kDomainsChanged, { Field("withdrawn", fmt::format("{}", fmt::join(mWithdrawn, ","))) });
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libcontrol/store_relay_wire.cpp
@@ -0,0 +1,318 @@
+#include "store_relay_wire.h"
+
+#include "briarwind/base64.h"
+#include "briarwind/json_fields.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <ranges>
+
+namespace briarwind::store_relay {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::array kErrorKinds{
+  error_kind::kInvalid,     error_kind::kNotFound, error_kind::kConflict,
+  error_kind::kUnavailable, error_kind::kTimeout,  error_kind::kUnknownOutcome,
+  error_kind::kTooLarge,    error_kind::kProtocol,
+};
+
+// Values may be any bytes, which JSON text cannot hold.
+json::object ValueObject(const stored_value& aValue)
+{
+  return { { "key", aValue.mKey },
+           { "value", EncodeBase64(aValue.mValue) },
+           { "modified", aValue.mModified },
+           { "created", aValue.mCreated },
+           { "lease", aValue.mLease } };
+}
+
+stored_value ReadValue(const json::value& aValue)
+{
+  stored_value read;
+  if (!aValue.is_object()) {
+    return read;
+  }
+  const json::object& object = aValue.get_object();
+  read.mKey = TextField(object, "key");
+  const auto value = Settle([&] { return DecodeBase64(TextField(object, "value")); });
+  read.mValue = value ? value.value() : std::string();
+  read.mModified = NumberField(object, "modified");
+  read.mCreated = NumberField(object, "created");
+  read.mLease = NumberField(object, "lease");
+  return read;
+}
+
+json::array ValueArray(const std::vector<stored_value>& aValues)
+{
+  json::array array;
+  std::ranges::transform(aValues, std::back_inserter(array), ValueObject);
+  return array;
+}
+
+std::vector<stored_value> ReadValues(const json::object& aObject, std::string_view aName)
+{
+  std::vector<stored_value> values;
+  std::ranges::transform(ArrayField(aObject, aName), std::back_inserter(values), ReadValue);
+  return values;
+}
+
+instant DeadlineOf(const json::object& aObject)
+{
+  return monotonic_clock::now() + milliseconds(NumberField(aObject, "time_ms"));
+}
+
+http_response Failure(const error& aError)
+{
+  return JsonResponse(503, json::serialize(json::object{ { "kind", ToString(aError.mKind) },
+                                                         { "what", aError.mWhat } }));
+}
+
+http_response Success(const json::object& aObject)
+{
+  return JsonResponse(200, json::serialize(aObject));
+}
+
+http_response ServeGet(record_store& aStore, const json::object& aCall)
+{
+  const auto got = aStore.Get(TextField(aCall, "key"), DeadlineOf(aCall));
+  if (!got) {
+    return Failure(got.error());
+  }
+  json::object answer;
+  if (got.value()) {
+    answer["value"] = ValueObject(*got.value());
+  }
+  return Success(answer);
+}
+
+http_response ServeList(record_store& aStore, const json::object& aCall)
+{
+  const auto listing = aStore.List(TextField(aCall, "prefix"), DeadlineOf(aCall));
+  return listing ? Success({ { "revision", listing.value().mRevision },
+                             { "values", ValueArray(listing.value().mValues) } })
+                 : Failure(listing.error());
+}
+
+http_response ServeWatch(record_store& aStore, const json::object& aCall)
+{
+  const auto seen = aStore.Watch(TextField(aCall, "prefix"), NumberField(aCall, "after"),
+                                 milliseconds(NumberField(aCall, "wait_ms")));
+  if (!seen) {
+    return Failure(seen.error());
+  }
+  json::array changes;
+  for (const store_change& each : seen.value().mChanges) {
+    json::object change = ValueObject(each.mValue);
+    change["deleted"] = each.mDeleted;
+    changes.emplace_back(std::move(change));
+  }
+  return Success({ { "compacted", seen.value().mCompacted },
+                   { "revision", seen.value().mRevision },
+                   { "changes", std::move(changes) } });
+}
+
+store_transaction ReadTransaction(const json::object& aCall)
+{
+  store_transaction transaction;
+  for (const stored_value& each : ReadValues(aCall, "conditions")) {
+    transaction.mConditions.push_back({ each.mKey, each.mModified });
+  }
+  for (stored_value& each : ReadValues(aCall, "writes")) {
+    transaction.mWrites.push_back({ each.mKey, std::move(each.mValue), each.mLease });
+  }
+  for (const stored_value& each : ReadValues(aCall, "deletes")) {
+    transaction.mDeletes.push_back(each.mKey);
+  }
+  return transaction;
+}
+
+http_response ServeCommit(record_store& aStore, const json::object& aCall)
+{
+  const auto done = aStore.Commit(ReadTransaction(aCall), DeadlineOf(aCall));
+  return done ? Success({ { "committed", done.value().mCommitted },
+                          { "revision", done.value().mRevision },
+                          { "current", ValueArray(done.value().mCurrent) } })
+              : Failure(done.error());
+}
+
+http_response ServeGrant(record_store& aStore, const json::object& aCall)
+{
+  const auto lease =
+    aStore.Grant(milliseconds(NumberField(aCall, "time_to_live_ms")), DeadlineOf(aCall));
+  return lease ? Success({ { "lease", lease.value().mLease },
+                           { "time_to_live_ms", lease.value().mTimeToLive.count() } })
+               : Failure(lease.error());
+}
+
+http_response ServeRenew(record_store& aStore, const json::object& aCall)
+{
+  const store_lease lease = NumberField(aCall, "lease");
+  const auto renewed = aStore.Renew(lease, DeadlineOf(aCall));
+  return renewed ? Success({ { "lease", lease }, { "time_to_live_ms", renewed.value().count() } })
+                 : Failure(renewed.error());
+}
+
+http_response ServeEnd(record_store& aStore, const json::object& aCall)
+{
+  const auto ended = aStore.End(NumberField(aCall, "lease"), DeadlineOf(aCall));
+  return ended ? Success({}) : Failure(ended.error());
+}
+
+struct served_call
+{
+  std::string_view mName;
+  http_response (*mServe)(record_store&, const json::object&);
+};
+
+constexpr std::array kServed{
+  served_call{ "get", ServeGet },     served_call{ "list", ServeList },
+  served_call{ "watch", ServeWatch }, served_call{ "commit", ServeCommit },
+  served_call{ "grant", ServeGrant }, served_call{ "renew", ServeRenew },
+  served_call{ "end", ServeEnd },
+};
+
+call MakeCall(std::string_view aName, json::object aBody)
+{
+  return { std::string(aName), json::serialize(aBody) };
+}
+
+// The answer's object, or the error that the peer met.
+io_result<json::object> Read(const http_response& aAnswer)
+{
+  auto object = Settle([&] { return ParseJsonObject(aAnswer.mBody); });
+  if (!object) {
+    return IoError(error_kind::kUnknownOutcome, "peer", "an answer that cannot be read");
+  }
+  if (aAnswer.mStatus == 200) {
+    return std::move(object).value();
+  }
+  const std::string name = TextField(object.value(), "kind");
+  const auto kind =
+    std::ranges::find(kErrorKinds, name, [](error_kind aKind) { return ToString(aKind); });
+  return IoError(kind == kErrorKinds.end() ? error_kind::kUnknownOutcome : *kind, "peer",
+                 TextField(object.value(), "what"));
+}
+
+} // namespace
+
+http_response Serve(record_store& aStore, std::string_view aName, std::string_view aBody)
+{
+  const auto served = std::ranges::find(kServed, aName, &served_call::mName);
+  const auto body = Settle([&] { return ParseJsonObject(aBody); });
+  if (served == kServed.end() || !body) {
+    return Failure({ error_kind::kInvalid, "peer", "no such call" });
+  }
+  return served->mServe(aStore, body.value());
+}
+
+call GetCall(std::string_view aKey, milliseconds aTime)
+{
+  return MakeCall("get", { { "key", aKey }, { "time_ms", aTime.count() } });
+}
+
+call ListCall(std::string_view aPrefix, milliseconds aTime)
+{
+  return MakeCall("list", { { "prefix", aPrefix }, { "time_ms", aTime.count() } });
+}
+
+call WatchCall(std::string_view aPrefix, store_revision aAfter, milliseconds aWait)
+{
+  return MakeCall("watch",
+                  { { "prefix", aPrefix }, { "after", aAfter }, { "wait_ms", aWait.count() } });
+}
+
+call CommitCall(const store_transaction& aTransaction, milliseconds aTime)
+{
+  json::array conditions;
+  for (const store_condition& each : aTransaction.mConditions) {
+    conditions.emplace_back(json::object{ { "key", each.mKey }, { "modified", each.mRevision } });
+  }
+  json::array writes;
+  for (const store_write& each : aTransaction.mWrites) {
+    writes.emplace_back(json::object{
+      { "key", each.mKey }, { "value", EncodeBase64(each.mValue) }, { "lease", each.mLease } });
+  }
+  json::array deletes;
+  for (const std::string& each : aTransaction.mDeletes) {
+    deletes.emplace_back(json::object{ { "key", each } });
+  }
+  return MakeCall("commit", { { "conditions", std::move(conditions) },
+                              { "writes", std::move(writes) },
+                              { "deletes", std::move(deletes) },
+                              { "time_ms", aTime.count() } });
+}
+
+call GrantCall(milliseconds aTimeToLive, milliseconds aTime)
+{
+  return MakeCall("grant",
+                  { { "time_to_live_ms", aTimeToLive.count() }, { "time_ms", aTime.count() } });
+}
+
+call LeaseCall(std::string_view aName, store_lease aLease, milliseconds aTime)
+{
+  return MakeCall(aName, { { "lease", aLease }, { "time_ms", aTime.count() } });
+}
+
+io_result<std::optional<stored_value>> GetAnswer(const http_response& aAnswer)
+{
+  const auto object = Read(aAnswer);
+  if (!object) {
+    return boost::outcome_v2::failure(object.error());
+  }
+  const json::value* value = object.value().if_contains("value");
+  return value == nullptr ? std::optional<stored_value>() : std::optional(ReadValue(*value));
+}
+
+io_result<store_listing> ListAnswer(const http_response& aAnswer)
+{
+  const auto object = Read(aAnswer);
+  if (!object) {
+    return boost::outcome_v2::failure(object.error());
+  }
+  return store_listing{ NumberField(object.value(), "revision"),
+                        ReadValues(object.value(), "values") };
+}
+
+io_result<watch_answer> WatchAnswer(const http_response& aAnswer)
+{
+  const auto object = Read(aAnswer);
+  if (!object) {
+    return boost::outcome_v2::failure(object.error());
+  }
+  watch_answer answer;
+  answer.mCompacted = SwitchField(object.value(), "compacted");
+  answer.mRevision = NumberField(object.value(), "revision");
+  for (const json::value& each : ArrayField(object.value(), "changes")) {
+    const bool deleted = each.is_object() && SwitchField(each.get_object(), "deleted");
+    answer.mChanges.push_back({ deleted, ReadValue(each) });
+  }
+  return answer;
+}
+
+io_result<transaction_result> CommitAnswer(const http_response& aAnswer)
+{
+  const auto object = Read(aAnswer);
+  if (!object) {
+    return boost::outcome_v2::failure(object.error());
+  }
+  return transaction_result{ SwitchField(object.value(), "committed"),
+                             NumberField(object.value(), "revision"),
+                             ReadValues(object.value(), "current") };
+}
+
+io_result<granted_lease> GrantAnswer(const http_response& aAnswer)
+{
+  const auto object = Read(aAnswer);
+  if (!object) {
+    return boost::outcome_v2::failure(object.error());
+  }
+  return granted_lease{ NumberField(object.value(), "lease"),
+                        milliseconds(NumberField(object.value(), "time_to_live_ms")) };
+}
+
+} // namespace briarwind::store_relay
--- /dev/null
+++ b/src/libcontrol/work_driver.cpp
@@ -0,0 +1,483 @@
+#include "work_driver.h"
+
+#include "control_events.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace briarwind {
+
+namespace {
+
+constexpr milliseconds kTick{ 100 };
+// Twice within the time in which a leaving worker must get no more starts.
+constexpr milliseconds kRegistryPoll{ 700 };
+constexpr milliseconds kStoreDeadline{ 1'000 };
+// A worker that is well answers within a few milliseconds; a start that stays unanswered holds up
+// its gang, whose other members wait at most a few seconds.
+constexpr milliseconds kOrderDeadline{ 600 };
+constexpr milliseconds kLookSlack{ 600 };
+constexpr milliseconds kWriteRetry{ 60 };
+constexpr milliseconds kForgetEvery{ 5'000 };
+// Two entries of a transaction, condition and write, belong to each record; one more condition
+// names the leader.
+constexpr std::size_t kRecordsPerWrite = (record_store::kMostEntries - 1) / 2;
+constexpr int kWritesAtOnce = 4;
+
+wall_time WallNow()
+{
+  return std::chrono::system_clock::now();
+}
+
+const event_kind& EventOf(work_note_kind aKind)
+{
+  switch (aKind) {
+    case work_note_kind::kJobKnown:
+      return kWorkJobKnown;
+    case work_note_kind::kStarted:
+      return kWorkStarted;
+    case work_note_kind::kStartFailed:
+      return kWorkStartFailed;
+    case work_note_kind::kEnded:
+      return kWorkEnded;
+    case work_note_kind::kEvicted:
+      return kWorkEvicted;
+    case work_note_kind::kStopped:
+      return kWorkStopped;
+    case work_note_kind::kLost:
+      return kWorkLost;
+    case work_note_kind::kJobOver:
+      return kWorkJobOver;
+    case work_note_kind::kWorkerRestored:
+      return kWorkWorkerRestored;
+    case work_note_kind::kWorkerLost:
+      return kWorkWorkerLost;
+    case work_note_kind::kWorkerDistrusted:
+      return kWorkWorkerDistrusted;
+  }
+  return kWorkLost;
+}
+
+} // namespace
+
+namespace work_keys {
+
+std::string Accepted(std::string_view aJob)
+{
+  return fmt::format("{}{}", kAccepted, aJob);
+}
+
+std::string Cancel(std::string_view aJob)
+{
+  return fmt::format("{}{}{}", kAccepted, aJob, kCancelSuffix);
+}
+
+std::string Progress(std::string_view aJob)
+{
+  return fmt::format("{}{}", kProgress, aJob);
+}
+
+} // namespace work_keys
+
+work_driver::work_driver(fiber_runtime& aRuntime, record_store& aStore, worker_gateway& aGateway,
+                         worker_registry& aRegistry, metrics& aMetrics,
+                         const work_options& aOptions)
+  : mRuntime(aRuntime)
+  , mStore(aStore)
+  , mGateway(aGateway)
+  , mRegistry(aRegistry)
+  , mMetrics(aMetrics)
+  , mCore(aOptions)
+{
+}
+
+void work_driver::Reign(const leadership& aLead, std::function<void()> aDeposed)
+{
+  const std::int64_t epoch = aLead.Epoch();
+  mLead = &aLead;
+  mDeposed = std::move(aDeposed);
+  mCore.BeginReign(epoch, monotonic_clock::now());
+  store_revision listed = 0;
+  while (IsReign(epoch) && !TakeOver(epoch, listed)) {
+    SleepFor(kWriteRetry);
+  }
+  if (!IsReign(epoch)) {
+    return;
+  }
+  mActing = true;
+  const work_counts counts = mCore.Counts();
+  LogEvent(kTakenOver,
+           { Field("epoch", epoch), Field("jobs", counts.mJobs), Field("runs", counts.mLiveRuns),
+             Field("workers", counts.mWorkers), Field("revision", listed) });
+  mRuntime.Spawn([this, epoch] { PollWorkers(epoch); });
+  mRuntime.Spawn([this, epoch] { TickLoop(epoch); });
+  Pump();
+  store_follower follower(
+    mStore, mMetrics, std::string(work_keys::kAccepted),
+    { [this](const store_listing& aListing) { Accepted(aListing); },
+      [this](const std::vector<store_change>& aChanges) { AcceptedChanged(aChanges); },
+      [this, epoch] { return IsReign(epoch); } });
+  follower.Run(listed);
+}
+
+void work_driver::Abdicate()
+{
+  mLead = nullptr;
+  mActing = false;
+  mCore.EndReign();
+}
+
+void work_driver::Deposed(std::string_view aReason)
+{
+  LogEvent(kLeadRefused, { Field("epoch", mCore.Epoch()), Field("reason", aReason) });
+  if (const auto deposed = mDeposed) {
+    deposed();
+  }
+}
+
+void work_driver::SetSettings(const work_settings& aSettings)
+{
+  mSettings = aSettings;
+  if (mActing) {
+    mCore.SetSettings(mSettings, monotonic_clock::now());
+    Pump();
+  }
+}
+
+// The epoch is in force already, so no record of an earlier leader can change any more. Progress is
+// read before the accepted jobs: a job that comes in between has none.
+bool work_driver::TakeOver(std::int64_t aEpoch, store_revision& aListed)
+{
+  const auto progress = mStore.List(work_keys::kProgress, monotonic_clock::now() + kStoreDeadline);
+  const auto accepted =
+    progress ? mStore.List(work_keys::kAccepted, monotonic_clock::now() + kStoreDeadline)
+             : progress;
+  const auto workers = mRegistry.Read(monotonic_clock::now() + kStoreDeadline);
+  if (!accepted || !workers) {
+    LogEvent(kTakeOverFailed,
+             { Field("epoch", aEpoch), Field("what", accepted ? "registry" : "records") });
+    return false;
+  }
+  if (!IsReign(aEpoch)) {
+    return false;
+  }
+  const instant now = monotonic_clock::now();
+  mCore.BeginReign(aEpoch, now);
+  mCore.SetSettings(mSettings, now);
+  std::map<std::string_view, const stored_value*> records;
+  for (const stored_value& each : progress.value().mValues) {
+    records.emplace(std::string_view(each.mKey).substr(work_keys::kProgress.size()), &each);
+  }
+  for (const stored_value& each : accepted.value().mValues) {
+    if (each.mKey.ends_with(work_keys::kCancelSuffix)) {
+      continue;
+    }
+    const auto job = Settle([&] { return ParseWorkJob(each.mValue); });
+    if (!job) {
+      LogEvent(kWorkUnreadable, { Field("key", each.mKey), Field("revision", each.mModified) });
+      continue;
+    }
+    stored_job stored{ job.value(), false, {}, 0 };
+    if (const auto record = records.find(job.value().mId); record != records.end()) {
+      stored.mProgress = record->second->mValue;
+      stored.mProgressRevision = record->second->mModified;
+    }
+    mCore.AddJob(stored, now, WallNow());
+  }
+  mCore.SetWorkers(workers.value(), now);
+  Accepted(accepted.value());
+  aListed = accepted.value().mRevision;
+  return true;
+}
+
+void work_driver::Accepted(const store_listing& aListing)
+{
+  std::ranges::for_each(aListing.mValues,
+                        [this](const stored_value& aValue) { AddAccepted(aValue); });
+  Pump();
+}
+
+void work_driver::AcceptedChanged(const std::vector<store_change>& aChanges)
+{
+  for (const store_change& each : aChanges) {
+    if (!each.mDeleted) {
+      AddAccepted(each.mValue);
+    }
+  }
+  Pump();
+}
+
+void work_driver::AddAccepted(const stored_value& aValue)
+{
+  const instant now = monotonic_clock::now();
+  std::string_view name = std::string_view(aValue.mKey).substr(work_keys::kAccepted.size());
+  if (name.ends_with(work_keys::kCancelSuffix)) {
+    name.remove_suffix(work_keys::kCancelSuffix.size());
+    mCore.CancelJob(std::string(name), now);
+    return;
+  }
+  if (mCore.State(std::string(name))) {
+    return;
+  }
+  const auto job = Settle([&] { return ParseWorkJob(aValue.mValue); });
+  if (!job) {
+    LogEvent(kWorkUnreadable, { Field("key", aValue.mKey), Field("revision", aValue.mModified) });
+    return;
+  }
+  mCore.AddJob({ job.value(), false, {}, 0 }, now, WallNow());
+}
+
+void work_driver::PollWorkers(std::int64_t aEpoch)
+{
+  bool reached = true;
+  while (IsReign(aEpoch)) {
+    SleepFor(kRegistryPoll);
+    const auto workers = mRegistry.Read(monotonic_clock::now() + kStoreDeadline);
+    if (!IsReign(aEpoch)) {
+      return;
+    }
+    if (workers) {
+      mCore.SetWorkers(workers.value(), monotonic_clock::now());
+      Pump();
+    }
+    if (std::exchange(reached, workers.has_value()) != workers.has_value()) {
+      LogEvent(workers ? kRegistryRegained : kRegistryLost,
+               { Field("error", workers ? std::string_view() : ToString(workers.error().mKind)) });
+    }
+  }
+}
+
+void work_driver::TickLoop(std::int64_t aEpoch)
+{
+  instant forgetAt = monotonic_clock::now() + kForgetEvery;
+  while (IsReign(aEpoch)) {
+    SleepFor(kTick);
+    PumpNow();
+    if (IsReign(aEpoch) && monotonic_clock::now() >= forgetAt) {
+      forgetAt = monotonic_clock::now() + kForgetEvery;
+      ForgetOld();
+    }
+  }
+}
+
+// Several events often come at once; they are decided on together.
+void work_driver::Pump()
+{
+  if (!mActing || std::exchange(mPumpPending, true)) {
+    return;
+  }
+  mRuntime.Spawn([this] {
+    mPumpPending = false;
+    PumpNow();
+  });
+}
+
+void work_driver::PumpNow()
+{
+  if (!mActing) {
+    return;
+  }
+  if (!mPaused && mLead->MayOrder()) {
+    const instant begun = monotonic_clock::now();
+    mCore.Decide(begun, WallNow());
+    mMetrics.Observe(kWorkDecisionTime, monotonic_clock::now() - begun);
+  }
+  std::ranges::for_each(mCore.TakeActions(),
+                        [this](work_action& aAction) { Perform(std::move(aAction)); });
+  StartWrites();
+  StartLooks();
+}
+
+void work_driver::Perform(work_action aAction)
+{
+  if (const auto* note = std::get_if<work_note>(&aAction)) {
+    LogNote(*note);
+    return;
+  }
+  ++mOrders;
+  mRuntime.Spawn([this, action = std::move(aAction)] {
+    if (const auto* start = std::get_if<start_run>(&action)) {
+      PerformStart(*start);
+    } else if (const auto* stop = std::get_if<stop_run>(&action)) {
+      PerformStop(*stop);
+    }
+    --mOrders;
+    Pump();
+  });
+}
+
+void work_driver::PerformStart(const start_run& aOrder)
+{
+  const std::int64_t epoch = mCore.Epoch();
+  const instant sent = monotonic_clock::now();
+  start_outcome outcome = start_outcome::kHeldBack;
+  // Checked last: whatever came before may have taken long, or the host was suspended in it.
+  if (mActing && !mPaused && mLead->MayOrder()) {
+    const milliseconds until = mCore.GrantLease(aOrder.mWorker, sent);
+    outcome =
+      mGateway.Start(mCore.Address(aOrder.mWorker), aOrder, epoch, until, sent + kOrderDeadline);
+  }
+  mMetrics.Count(kWorkOrders, ToString(outcome));
+  if (!IsReign(epoch)) {
+    return;
+  }
+  mCore.OnStarted(aOrder, outcome, sent, monotonic_clock::now());
+  if (outcome == start_outcome::kFenced) {
+    Deposed("a worker obeys a newer leader");
+  }
+}
+
+void work_driver::PerformStop(const stop_run& aOrder)
+{
+  const std::int64_t epoch = mCore.Epoch();
+  const instant sent = monotonic_clock::now();
+  const stop_outcome outcome =
+    mGateway.Stop(mCore.Address(aOrder.mWorker), aOrder, epoch, sent + kOrderDeadline);
+  mMetrics.Count(kWorkStops, outcome == stop_outcome::kStopping ? "stopping" : "failed");
+  if (!IsReign(epoch)) {
+    return;
+  }
+  mCore.OnStopped(aOrder, outcome, sent, monotonic_clock::now());
+  if (outcome == stop_outcome::kFenced) {
+    Deposed("a worker obeys a newer leader");
+  }
+}
+
+void work_driver::LogNote(const work_note& aNote)
+{
+  mMetrics.Count(kWorkNotes, ToString(aNote.mKind));
+  LogEvent(EventOf(aNote.mKind),
+           { Field("job", aNote.mJob), Field("task", aNote.mTask), Field("worker", aNote.mWorker),
+             Field("reason", aNote.mReason), Field("age_ms", aNote.mAge.count()),
+             Field("epoch", mCore.Epoch()), Field("settings", mSettings.mVersion) });
+}
+
+void work_driver::StartLooks()
+{
+  const instant now = monotonic_clock::now();
+  for (const std::string& worker : mCore.Workers()) {
+    if (mLooking.contains(worker)) {
+      continue;
+    }
+    if (auto plan = mCore.PlanLook(worker, now)) {
+      if (!mLead->MayOrder()) {
+        plan->mLeaseUntil = milliseconds{ 0 };
+      }
+      mLooking.insert(worker);
+      mRuntime.Spawn([this, worker, plan = *plan] { RunLook(worker, plan); });
+    }
+  }
+}
+
+void work_driver::RunLook(const std::string& aWorker, const look_plan& aPlan)
+{
+  const std::int64_t epoch = mCore.Epoch();
+  const instant sent = monotonic_clock::now();
+  const auto report = mGateway.Look(aWorker, aPlan, epoch, sent + aPlan.mWait + kLookSlack);
+  mLooking.erase(aWorker);
+  mMetrics.Count(kWorkLooks, report ? "answered" : ToString(report.error().mKind));
+  if (!IsReign(epoch)) {
+    return;
+  }
+  if (report) {
+    mCore.OnReport(aWorker, report.value(), sent, monotonic_clock::now());
+  } else if (report.error().mKind == error_kind::kConflict) {
+    Deposed("a worker obeys a newer leader");
+    return;
+  } else {
+    mCore.OnSilence(aWorker, monotonic_clock::now());
+  }
+  Pump();
+}
+
+void work_driver::StartWrites()
+{
+  while (mWrites < kWritesAtOnce) {
+    std::vector<progress_write> writes = mCore.TakeWrites(kRecordsPerWrite);
+    if (writes.empty()) {
+      return;
+    }
+    ++mWrites;
+    mRuntime.Spawn([this, writes = std::move(writes)]() mutable {
+      RunWrite(std::move(writes));
+      --mWrites;
+      Pump();
+    });
+  }
+}
+
+// Repeated until its fate is known: the conditions let one attempt through at most.
+void work_driver::RunWrite(std::vector<progress_write> aWrites)
+{
+  const std::int64_t epoch = mCore.Epoch();
+  if (!IsReign(epoch)) {
+    return;
+  }
+  store_transaction transaction;
+  transaction.mConditions.push_back(mLead->Condition());
+  for (const progress_write& each : aWrites) {
+    transaction.mConditions.push_back({ work_keys::Progress(each.mJob), each.mExpected });
+    transaction.mWrites.push_back({ work_keys::Progress(each.mJob), each.mValue, 0 });
+  }
+  while (IsReign(epoch)) {
+    const instant sent = monotonic_clock::now();
+    const auto done = mStore.Commit(transaction, sent + kStoreDeadline);
+    if (!IsReign(epoch)) {
+      return;
+    }
+    if (done) {
+      mMetrics.Observe(kWorkWriteTime, monotonic_clock::now() - sent);
+      SettleWrite(aWrites, done.value());
+      return;
+    }
+    mMetrics.Count(kWorkWriteRetries, ToString(done.error().mKind));
+    SleepFor(kWriteRetry);
+  }
+}
+
+bool work_driver::SettleWrite(const std::vector<progress_write>& aWrites,
+                              const transaction_result& aResult)
+{
+  const instant now = monotonic_clock::now();
+  if (aResult.mCommitted) {
+    for (const progress_write& each : aWrites) {
+      mCore.OnWritten(each.mJob, aResult.mRevision, now);
+    }
+    return true;
+  }
+  const auto current = [&](const std::string& aKey) -> const stored_value* {
+    const auto found = std::ranges::find(aResult.mCurrent, aKey, &stored_value::mKey);
+    return found == aResult.mCurrent.end() ? nullptr : &*found;
+  };
+  const stored_value* leader = current(std::string(leadership::kLeaderKey));
+  if (leader == nullptr || leader->mModified != mCore.Epoch()) {
+    Deposed("the store names another leader");
+    return false;
+  }
+  for (const progress_write& each : aWrites) {
+    const stored_value* stored = current(work_keys::Progress(each.mJob));
+    if (stored != nullptr && stored->mValue == each.mValue) {
+      mCore.OnWritten(each.mJob, stored->mModified, now);
+    } else {
+      mCore.OnNotWritten(each.mJob, stored == nullptr ? 0 : stored->mModified);
+    }
+  }
+  return true;
+}
+
+void work_driver::ForgetOld()
+{
+  for (const std::string& job : mCore.TakeForgotten(monotonic_clock::now())) {
+    store_transaction removal;
+    removal.mConditions.push_back(mLead->Condition());
+    removal.mDeletes = { work_keys::Accepted(job), work_keys::Cancel(job),
+                         work_keys::Progress(job) };
+    const auto done = mStore.Commit(removal, monotonic_clock::now() + kStoreDeadline);
+    LogEvent(kWorkForgotten, { Field("job", job), Field("removed", done.has_value()) });
+    if (!IsReign(mCore.Epoch())) {
+      return;
+    }
+  }
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libcontrol/work_driver.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "leadership.h"
+
+#include "briarwind/operator_settings.h"
+#include "briarwind/work_core.h"
+#include "briarwind/worker_gateway.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace briarwind {
+
+/// Keys of jobs in the store.
+namespace work_keys {
+inline constexpr std::string_view kAccepted = "briarwind/accepted/"; ///< written once, by any host
+inline constexpr std::string_view kProgress = "briarwind/progress/"; ///< written by the leader
+inline constexpr std::string_view kCancelSuffix = "/cancel";
+std::string Accepted(std::string_view aJob);
+std::string Cancel(std::string_view aJob);
+std::string Progress(std::string_view aJob);
+} // namespace work_keys
+
+/// Carries out what the core decides while this host leads: reads jobs, workers and settings into
+/// it, writes its records and sends its orders.
+class work_driver
+{
+public:
+  work_driver(fiber_runtime& aRuntime, record_store& aStore, worker_gateway& aGateway,
+              worker_registry& aRegistry, metrics& aMetrics, const work_options& aOptions);
+
+  /// Runs in a fiber of its own until the reign is over.
+  void Reign(const leadership& aLead, std::function<void()> aDeposed);
+  void Abdicate();
+  /// No new decision and no order that has not left yet; for the last moments of a reign.
+  void Pause() { mPaused = true; }
+  void SetSettings(const work_settings& aSettings);
+
+  bool IsActing() const { return mActing; }
+  int CountWaiting(const std::string& aQueue) const { return mCore.CountWaiting(aQueue); }
+  /// Orders that have left and are not answered yet.
+  int OrdersUnderWay() const { return mOrders; }
+
+private:
+  bool TakeOver(std::int64_t aEpoch, store_revision& aListed);
+  void Accepted(const store_listing& aListing);
+  void AcceptedChanged(const std::vector<store_change>& aChanges);
+  void AddAccepted(const stored_value& aValue);
+  void PollWorkers(std::int64_t aEpoch);
+  void TickLoop(std::int64_t aEpoch);
+  void Pump();
+  void PumpNow();
+  void Perform(work_action aAction);
+  void PerformStart(const start_run& aOrder);
+  void PerformStop(const stop_run& aOrder);
+  void LogNote(const work_note& aNote);
+  void StartLooks();
+  void RunLook(const std::string& aWorker, const look_plan& aPlan);
+  void StartWrites();
+  void RunWrite(std::vector<progress_write> aWrites);
+  bool SettleWrite(const std::vector<progress_write>& aWrites, const transaction_result& aResult);
+  void ForgetOld();
+  void Deposed(std::string_view aReason);
+  bool IsReign(std::int64_t aEpoch) const { return mLead != nullptr && mCore.Epoch() == aEpoch; }
+
+  fiber_runtime& mRuntime;
+  record_store& mStore;
+  worker_gateway& mGateway;
+  worker_registry& mRegistry;
+  metrics& mMetrics;
+  work_core mCore;
+  work_settings mSettings;
+  const leadership* mLead = nullptr;
+  std::function<void()> mDeposed;
+  bool mActing = false;
+  bool mPaused = false;
+  bool mPumpPending = false;
+  std::set<std::string> mLooking;
+  int mOrders = 0;
+  int mWrites = 0;
+};
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libwork/work_eviction.cpp
@@ -0,0 +1,182 @@
+#include "work_placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <ranges>
+
+namespace briarwind {
+
+namespace {
+
+// An accelerator is worth as much as this many cores when lost work is weighed.
+constexpr double kCoresPerAccelerator = 8;
+constexpr double kMilli = 1000;
+
+// A run that may be stopped, and the work that would be lost with it.
+struct victim
+{
+  run_id mRun;
+  const run_entry* mEntry = nullptr;
+  double mLoss = 0; ///< core-seconds; 0 when it is being stopped already
+};
+
+struct host_plan
+{
+  worker_entry* mWorker = nullptr;
+  task_demand mRoom;            ///< free now, or freed by the victims chosen
+  std::vector<victim> mVictims; ///< not chosen yet, cheapest for its accelerators first
+  int mLimit = 0;
+};
+
+struct eviction_plan
+{
+  std::vector<task_place> mPlaces;
+  std::vector<std::pair<worker_entry*, run_id>> mStops;
+  double mLoss = 0;
+};
+
+double LossOf(const run_entry& aRun, bool aCheckpoints, instant aNow, milliseconds aCheckpointEvery)
+{
+  const double cores = static_cast<double>(aRun.mDemand.mMilliCores) / kMilli +
+                       kCoresPerAccelerator * static_cast<double>(aRun.mDemand.mAccelerators);
+  const std::chrono::duration<double> ran = aNow - aRun.mStartedAt;
+  const std::chrono::duration<double> most = aCheckpointEvery;
+  return cores * (aCheckpoints ? std::min(ran.count(), most.count()) : ran.count());
+}
+
+// Stops the cheapest victims until one more task fits; the loss, or nothing when it never does.
+std::optional<double> MakeRoom(host_plan& aHost, const task_demand& aDemand,
+                               std::vector<std::pair<worker_entry*, run_id>>& aStops)
+{
+  double loss = 0;
+  while (FitCount(aHost.mRoom, aDemand) < 1) {
+    if (aHost.mVictims.empty()) {
+      return std::nullopt;
+    }
+    const victim next = aHost.mVictims.front();
+    aHost.mVictims.erase(aHost.mVictims.begin());
+    aHost.mRoom += next.mEntry->mDemand;
+    if (next.mEntry->mPhase != run_phase::kStopping) {
+      aStops.emplace_back(aHost.mWorker, next.mRun);
+      loss += next.mLoss;
+    }
+  }
+  return loss;
+}
+
+eviction_plan PlanOn(std::vector<host_plan> aHosts, const ready_unit& aUnit,
+                     const std::vector<int>& aTasks)
+{
+  eviction_plan plan;
+  const task_demand& demand = aUnit.Spec().mDemand;
+  for (const int index : aTasks) {
+    host_plan* best = nullptr;
+    double bestLoss = std::numeric_limits<double>::infinity();
+    for (host_plan& host : aHosts) {
+      host_plan trial = host;
+      std::vector<std::pair<worker_entry*, run_id>> stops;
+      const auto loss = host.mLimit > 0 ? MakeRoom(trial, demand, stops) : std::nullopt;
+      if (loss && *loss < bestLoss) {
+        best = &host;
+        bestLoss = *loss;
+      }
+    }
+    if (best == nullptr) {
+      break;
+    }
+    MakeRoom(*best, demand, plan.mStops);
+    best->mRoom -= demand;
+    --best->mLimit;
+    plan.mPlaces.emplace_back(index, best->mWorker);
+    plan.mLoss += bestLoss;
+  }
+  return plan;
+}
+
+} // namespace
+
+// Takes the room of work that may be stopped, and keeps it until the stopped runs are gone.
+bool work_core::state::PlaceByEviction(ready_unit& aUnit, instant aNow)
+{
+  const std::vector<int> waiting = WaitingTasks(aUnit);
+  const work_step& spec = aUnit.Spec();
+  if (waiting.empty() || (spec.mGang && waiting.size() != aUnit.Entry().mTasks.size())) {
+    return false;
+  }
+  const auto mayStop = [&](const run_id& aRun, const run_entry& aEntry) {
+    const job_entry* job = FindJob(aRun.mTask.mJob);
+    if (aEntry.mPhase == run_phase::kStopping || job == nullptr || job->IsOver()) {
+      return true;
+    }
+    const auto queue = mSettings.mQueues.find(job->mSpec.mQueue);
+    const int priority =
+      queue == mSettings.mQueues.end() ? job->mSpec.mPolicy.mPriority : queue->second.mPriority;
+    return aEntry.mPhase == run_phase::kRunning && priority > aUnit.mQueue->mPriority;
+  };
+  std::vector<host_plan> hosts;
+  for (auto& [id, worker] : mWorkers) {
+    if (!IsUsable(worker, aUnit, aNow)) {
+      continue;
+    }
+    host_plan host{ &worker, worker.Free(), {}, StepLimit(worker, aUnit) };
+    for (const auto& [run, entry] : worker.mRuns) {
+      if (!mayStop(run, entry)) {
+        continue;
+      }
+      const job_entry* job = FindJob(run.mTask.mJob);
+      const bool checkpoints =
+        job != nullptr && job->mSpec.mSteps[static_cast<std::size_t>(run.mTask.mStep)].mCheckpoints;
+      const double loss = entry.mPhase == run_phase::kStopping
+                            ? 0
+                            : LossOf(entry, checkpoints, aNow, mOptions.mCheckpointEvery);
+      host.mVictims.push_back({ run, &entry, loss });
+    }
+    std::ranges::sort(host.mVictims, {}, [](const victim& aVictim) {
+      return aVictim.mLoss / std::max(1, aVictim.mEntry->mDemand.mAccelerators);
+    });
+    hosts.push_back(std::move(host));
+  }
+
+  eviction_plan best;
+  const auto consider = [&](const std::string& aRack) {
+    std::vector<host_plan> there;
+    std::ranges::copy_if(hosts, std::back_inserter(there), [&](const host_plan& aHost) {
+      return aRack.empty() || aHost.mWorker->mInfo.mRack == aRack;
+    });
+    eviction_plan plan = PlanOn(std::move(there), aUnit, waiting);
+    const bool whole = plan.mPlaces.size() == waiting.size();
+    if ((whole || !spec.mGang) &&
+        (plan.mPlaces.size() > best.mPlaces.size() ||
+         (plan.mPlaces.size() == best.mPlaces.size() && plan.mLoss < best.mLoss))) {
+      best = std::move(plan);
+    }
+  };
+  if (!spec.mDataRack.empty()) {
+    consider(spec.mDataRack);
+  } else if (spec.mGang && spec.mRackLocal) {
+    std::set<std::string> racks;
+    for (const host_plan& host : hosts) {
+      racks.insert(host.mWorker->mInfo.mRack);
+    }
+    std::ranges::for_each(racks, consider);
+  }
+  if (best.mPlaces.empty()) {
+    consider({});
+  }
+  for (const auto& [index, worker] : best.mPlaces) {
+    task_entry& task = aUnit.Entry().mTasks[static_cast<std::size_t>(index)];
+    task.mPhase = task_phase::kClaimed;
+    task.mWorker = worker->mInfo.mId;
+    worker->mClaimed += spec.mDemand;
+    mReplan = true;
+  }
+  for (const auto& [worker, run] : best.mStops) {
+    Note(work_note_kind::kEvicted, run.mTask.mJob, ToString(run.mTask), worker->mInfo.mId,
+         fmt::format("for job {}", aUnit.mJob->mSpec.mId));
+    StopOthersOfGang(run, aNow);
+    StopRun(*worker, run, "room is needed", aNow);
+  }
+  return !best.mPlaces.empty();
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libwork/work_jobs.cpp
@@ -0,0 +1,197 @@
+#include "work_record.h"
+#include "work_table.h"
+
+#include <algorithm>
+
+namespace briarwind {
+
+namespace {
+
+occurrence_entry OpenOccurrence(const work_job& aJob, int aNumber)
+{
+  occurrence_entry made;
+  made.mNumber = aNumber;
+  std::ranges::transform(aJob.mSteps, std::back_inserter(made.mSteps), [](const work_step& aStep) {
+    step_entry step;
+    step.mTasks.resize(static_cast<std::size_t>(aStep.mCount));
+    return step;
+  });
+  return made;
+}
+
+occurrence_entry* FindOccurrence(job_entry& aJob, int aNumber)
+{
+  const auto found = std::ranges::find(aJob.mOccurrences, aNumber, &occurrence_entry::mNumber);
+  return found == aJob.mOccurrences.end() ? nullptr : &*found;
+}
+
+bool IsOver(const occurrence_entry& aOccurrence)
+{
+  return std::ranges::all_of(aOccurrence.mSteps, &step_entry::IsDone);
+}
+
+void MarkDone(step_entry& aStep, std::size_t aTask)
+{
+  if (aTask < aStep.mTasks.size() && aStep.mTasks[aTask].mPhase != task_phase::kDone) {
+    aStep.mTasks[aTask].mPhase = task_phase::kDone;
+    ++aStep.mDone;
+  }
+}
+
+} // namespace
+
+job_entry* work_core::state::FindJob(const std::string& aJob)
+{
+  const auto found = mJobs.find(aJob);
+  return found == mJobs.end() ? nullptr : &found->second;
+}
+
+step_entry* work_core::state::FindStep(const task_id& aTask)
+{
+  job_entry* job = FindJob(aTask.mJob);
+  occurrence_entry* occurrence = job == nullptr ? nullptr : FindOccurrence(*job, aTask.mOccurrence);
+  const auto step = static_cast<std::size_t>(aTask.mStep);
+  return occurrence == nullptr || step >= occurrence->mSteps.size() ? nullptr
+                                                                    : &occurrence->mSteps[step];
+}
+
+task_entry* work_core::state::FindTask(const task_id& aTask)
+{
+  step_entry* step = FindStep(aTask);
+  const auto index = static_cast<std::size_t>(aTask.mIndex);
+  return step == nullptr || index >= step->mTasks.size() ? nullptr : &step->mTasks[index];
+}
+
+void work_core::state::Changed(job_entry& aJob)
+{
+  ++aJob.mChange;
+  mReplan = true;
+}
+
+// Occurrences are due by the wall clock alone; the bound on early starts covers its error.
+void work_core::state::OpenOccurrences(job_entry& aJob, wall_time aWallNow)
+{
+  const int total = std::max(aJob.mSpec.mOccurrences, 1);
+  while (aJob.mNextOccurrence < total && !aJob.IsOver()) {
+    const bool timed = aJob.mSpec.mOccurrences > 0;
+    if (timed && aJob.mSpec.mFirstDue + aJob.mNextOccurrence * aJob.mSpec.mInterval > aWallNow) {
+      return;
+    }
+    if (!aJob.mOccurrencesOver.contains(aJob.mNextOccurrence)) {
+      aJob.mOccurrences.push_back(OpenOccurrence(aJob.mSpec, aJob.mNextOccurrence));
+      mReplan = true;
+    }
+    ++aJob.mNextOccurrence;
+  }
+}
+
+void work_core::state::Restore(job_entry& aJob, const stored_job& aStored, instant aNow)
+{
+  aJob.mRevision = aStored.mProgressRevision;
+  if (aStored.mProgress.empty()) {
+    return;
+  }
+  const auto read = Settle([&] { return ParseProgress(aStored.mProgress, aJob.mSpec.mId); });
+  if (!read) {
+    Note(work_note_kind::kLost, aJob.mSpec.mId, {}, {}, "progress record unreadable");
+    return;
+  }
+  const progress_record& record = read.value();
+  aJob.mState = record.mState;
+  aJob.mReason = record.mReason;
+  if (aJob.IsOver()) {
+    aJob.mOverSince = aNow;
+    return;
+  }
+  aJob.mOccurrencesOver.insert(record.mOccurrencesOver.begin(), record.mOccurrencesOver.end());
+  for (int i = 0; i < record.mNextOccurrence; ++i) {
+    if (!aJob.mOccurrencesOver.contains(i)) {
+      aJob.mOccurrences.push_back(OpenOccurrence(aJob.mSpec, i));
+    }
+  }
+  aJob.mNextOccurrence = record.mNextOccurrence;
+  for (const progress_done& each : record.mDone) {
+    step_entry* step = FindStep({ aJob.mSpec.mId, each.mOccurrence, each.mStep, 0 });
+    for (std::size_t i = 0; step != nullptr && i < step->mTasks.size(); ++i) {
+      if (each.mTasks.empty() || std::ranges::count(each.mTasks, static_cast<int>(i)) > 0) {
+        MarkDone(*step, i);
+      }
+    }
+  }
+  for (const progress_task& each : record.mTasks) {
+    task_entry* task = FindTask(each.mTask);
+    if (task == nullptr || task->mPhase == task_phase::kDone) {
+      continue;
+    }
+    task->mRun = each.mRun;
+    task->mFailures = each.mFailures;
+    task->mCheckpoint = each.mCheckpoint;
+    step_entry* step = FindStep(each.mTask);
+    step->mFailedRuns = std::max(step->mFailedRuns, each.mFailures);
+    if (!each.mWorker.empty()) {
+      task->mPhase = task_phase::kLive;
+      task->mWorker = each.mWorker;
+      RestoreRun(aJob, { each.mTask, each.mRun }, each.mWorker, each.mIncarnation, aNow);
+    }
+  }
+}
+
+// The order may not have left, may still be under way, or may have been carried out. Until the
+// worker tells, the run takes room there and its task is not started elsewhere.
+void work_core::state::RestoreRun(job_entry& aJob, const run_id& aRun, const std::string& aWorker,
+                                  std::int64_t aIncarnation, instant aNow)
+{
+  worker_entry& worker = mWorkers[aWorker];
+  if (worker.mInfo.mId.empty()) {
+    worker.mInfo.mId = aWorker;
+    worker.mInfo.mIncarnation = aIncarnation;
+    worker.mLeaseSurelyOver = mReignSince + std::chrono::duration_cast<milliseconds>(
+                                              mOptions.mMaxHold * mOptions.mClockSlack);
+  }
+  const work_step& step = aJob.mSpec.mSteps[static_cast<std::size_t>(aRun.mTask.mStep)];
+  run_entry run;
+  run.mPhase = run_phase::kRestored;
+  run.mDemand = step.mDemand;
+  run.mDemand.mMilliCores = step.mFills ? 0 : step.mDemand.mMilliCores;
+  run.mGang = step.mGang;
+  run.mPhaseSince = aNow;
+  run.mProgressAt = aNow;
+  run.mStartedAt = aNow;
+  run.mIncarnation = aIncarnation;
+  worker.mUsed += run.mDemand;
+  worker.mRuns.emplace(aRun, run);
+  worker.mInTouch = false;
+}
+
+void work_core::state::Finish(job_entry& aJob, work_state aState, const std::string& aReason,
+                              instant aNow)
+{
+  if (aJob.IsOver()) {
+    return;
+  }
+  ReleaseClaims(aJob);
+  StopTaskRuns(aJob, ToString(aState), aNow);
+  aJob.mState = aState;
+  aJob.mReason = aReason;
+  aJob.mOverSince = aNow;
+  aJob.mOccurrences.clear();
+  Changed(aJob);
+  Note(work_note_kind::kJobOver, aJob.mSpec.mId, {}, {},
+       aReason.empty() ? std::string(ToString(aState)) : aReason,
+       std::chrono::duration_cast<milliseconds>(aNow - aJob.mKnownSince));
+}
+
+void work_core::state::FinishIfDone(job_entry& aJob, instant aNow)
+{
+  for (const occurrence_entry& each : aJob.mOccurrences) {
+    if (IsOver(each)) {
+      aJob.mOccurrencesOver.insert(each.mNumber);
+    }
+  }
+  std::erase_if(aJob.mOccurrences, IsOver);
+  if (aJob.mOccurrences.empty() && aJob.mNextOccurrence >= std::max(aJob.mSpec.mOccurrences, 1)) {
+    Finish(aJob, work_state::kCompleted, {}, aNow);
+  }
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libwork/work_names.cpp
@@ -0,0 +1,85 @@
+#include "briarwind/work_core.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace briarwind {
+
+namespace {
+
+template<std::size_t Count, class Enum>
+std::string_view NameAt(const std::array<std::string_view, Count>& aNames, Enum aValue)
+{
+  return aNames.at(static_cast<std::size_t>(aValue));
+}
+
+bool TakeNumber(std::string_view& aText, int& aNumber)
+{
+  if (aText.empty() || aText.front() != '.') {
+    return false;
+  }
+  aText.remove_prefix(1);
+  const auto [end, code] = std::from_chars(aText.data(), aText.data() + aText.size(), aNumber);
+  const bool read = code == std::errc() && aNumber >= 0;
+  aText.remove_prefix(static_cast<std::size_t>(end - aText.data()));
+  return read;
+}
+
+} // namespace
+
+std::string_view ToString(work_state aState)
+{
+  static constexpr std::array<std::string_view, 5> kNames{ "queued", "running", "completed",
+                                                           "failed", "cancelled" };
+  return NameAt(kNames, aState);
+}
+
+std::string_view ToString(run_end aEnd)
+{
+  static constexpr std::array<std::string_view, 7> kNames{
+    "done", "failed", "stopped", "lapsed", "member-lost", "members-missing", "unreadable",
+  };
+  return NameAt(kNames, aEnd);
+}
+
+std::string_view ToString(start_outcome aOutcome)
+{
+  static constexpr std::array<std::string_view, 9> kNames{
+    "started", "fenced",     "old-run", "late",      "no-room",
+    "refused", "other-life", "unknown", "held-back",
+  };
+  return NameAt(kNames, aOutcome);
+}
+
+std::string_view ToString(work_note_kind aKind)
+{
+  static constexpr std::array<std::string_view, 11> kNames{
+    "job-known", "started",  "start-failed",    "ended",       "evicted",           "stopped",
+    "lost",      "job-over", "worker-restored", "worker-lost", "worker-distrusted",
+  };
+  return NameAt(kNames, aKind);
+}
+
+std::string ToString(const task_id& aTask)
+{
+  return fmt::format("{}.{}.{}.{}", aTask.mJob, aTask.mOccurrence, aTask.mStep, aTask.mIndex);
+}
+
+result<task_id> ParseTaskId(std::string_view aText)
+{
+  task_id task;
+  const auto dot = std::min(aText.find('.'), aText.size());
+  task.mJob = std::string(aText.substr(0, dot));
+  std::string_view rest = aText.substr(dot);
+  const bool read = !task.mJob.empty() && TakeNumber(rest, task.mOccurrence) &&
+                    TakeNumber(rest, task.mStep) && TakeNumber(rest, task.mIndex) && rest.empty();
+  if (!read) {
+    return MakeError(error_kind::kInvalid, "task", "not of the form job.occurrence.step.index");
+  }
+  return task;
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libwork/work_record.cpp
@@ -0,0 +1,301 @@
+#include "work_record.h"
+
+#include "briarwind/json_fields.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <ranges>
+
+namespace briarwind {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::array kStates{ work_state::kQueued, work_state::kRunning, work_state::kCompleted,
+                              work_state::kFailed, work_state::kCancelled };
+
+work_state StateOf(std::string_view aName)
+{
+  const auto found =
+    std::ranges::find(kStates, aName, [](work_state aState) { return ToString(aState); });
+  return found == kStates.end() ? work_state::kQueued : *found;
+}
+
+// Rows are positional: a record of a wide job is written with each change of any of its tasks.
+json::array TaskRow(const task_id& aTask, const task_entry& aEntry, std::int64_t aIncarnation)
+{
+  const bool live = aEntry.mPhase == task_phase::kLive;
+  return { aTask.mOccurrence, aTask.mStep,
+           aTask.mIndex,      aEntry.mRun,
+           aEntry.mFailures,  json::string(live ? aEntry.mWorker : std::string()),
+           aIncarnation,      json::string(aEntry.mCheckpoint) };
+}
+
+bool IsUntouched(const task_entry& aTask)
+{
+  return aTask.mPhase != task_phase::kLive && aTask.mRun == 0;
+}
+
+json::array DoneRow(int aOccurrence, int aStep, const step_entry& aEntry)
+{
+  json::array row{ aOccurrence, aStep };
+  if (aEntry.IsDone()) {
+    return row;
+  }
+  for (std::size_t i = 0; i < aEntry.mTasks.size(); ++i) {
+    if (aEntry.mTasks[i].mPhase == task_phase::kDone) {
+      row.emplace_back(static_cast<std::int64_t>(i));
+    }
+  }
+  return row;
+}
+
+std::int64_t IncarnationOf(const task_id& aTask, const task_entry& aEntry,
+                           const std::map<std::string, worker_entry>& aWorkers)
+{
+  const auto worker = aWorkers.find(aEntry.mWorker);
+  if (aEntry.mPhase != task_phase::kLive || worker == aWorkers.end()) {
+    return 0;
+  }
+  const auto run = worker->second.mRuns.find({ aTask, aEntry.mRun });
+  return run == worker->second.mRuns.end() ? 0 : run->second.mIncarnation;
+}
+
+std::int64_t IntAt(const json::array& aRow, std::size_t aIndex)
+{
+  const json::value* value = aRow.if_contains(aIndex);
+  return value != nullptr && value->is_int64() ? value->get_int64() : 0;
+}
+
+std::string TextAt(const json::array& aRow, std::size_t aIndex)
+{
+  const json::value* value = aRow.if_contains(aIndex);
+  return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
+progress_task ReadTask(const json::array& aRow, const std::string& aJob)
+{
+  return { { aJob, static_cast<int>(IntAt(aRow, 0)), static_cast<int>(IntAt(aRow, 1)),
+             static_cast<int>(IntAt(aRow, 2)) },
+           IntAt(aRow, 3),
+           static_cast<int>(IntAt(aRow, 4)),
+           TextAt(aRow, 5),
+           IntAt(aRow, 6),
+           TextAt(aRow, 7) };
+}
+
+progress_done ReadDone(const json::array& aRow)
+{
+  progress_done done{ static_cast<int>(IntAt(aRow, 0)), static_cast<int>(IntAt(aRow, 1)), {} };
+  for (std::size_t i = 2; i < aRow.size(); ++i) {
+    done.mTasks.push_back(static_cast<int>(IntAt(aRow, i)));
+  }
+  return done;
+}
+
+} // namespace
+
+std::string FormatProgress(const job_entry& aJob, std::int64_t aEpoch,
+                           const std::map<std::string, worker_entry>& aWorkers)
+{
+  json::array done;
+  json::array tasks;
+  if (!aJob.IsOver()) {
+    for (const occurrence_entry& occurrence : aJob.mOccurrences) {
+      for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
+        const step_entry& entry = occurrence.mSteps[step];
+        const int number = static_cast<int>(step);
+        if (entry.mDone > 0) {
+          done.emplace_back(DoneRow(occurrence.mNumber, number, entry));
+        }
+        for (std::size_t i = 0; i < entry.mTasks.size(); ++i) {
+          const task_entry& task = entry.mTasks[i];
+          if (task.mPhase == task_phase::kDone || IsUntouched(task)) {
+            continue;
+          }
+          const task_id id{ aJob.mSpec.mId, occurrence.mNumber, number, static_cast<int>(i) };
+          tasks.emplace_back(TaskRow(id, task, IncarnationOf(id, task, aWorkers)));
+        }
+      }
+    }
+  }
+  json::object record{ { "state", ToString(aJob.mState) }, { "epoch", aEpoch },
+                       { "change", aJob.mChange },         { "next", aJob.mNextOccurrence },
+                       { "done", std::move(done) },        { "tasks", std::move(tasks) } };
+  if (!aJob.mReason.empty()) {
+    record["reason"] = aJob.mReason;
+  }
+  if (!aJob.mOccurrencesOver.empty()) {
+    record["over"] = json::array(aJob.mOccurrencesOver.begin(), aJob.mOccurrencesOver.end());
+  }
+  return json::serialize(record);
+}
+
+result<progress_record> ParseProgress(std::string_view aJson, const std::string& aJob)
+{
+  BOOST_LEAF_AUTO(object, ParseJsonObject(aJson));
+  progress_record record;
+  record.mState = StateOf(TextField(object, "state"));
+  record.mReason = TextField(object, "reason");
+  record.mNextOccurrence = static_cast<int>(NumberField(object, "next"));
+  for (const json::value& each : ArrayField(object, "over")) {
+    record.mOccurrencesOver.push_back(static_cast<int>(each.is_int64() ? each.get_int64() : 0));
+  }
+  for (const json::value& each : ArrayField(object, "done")) {
+    if (each.is_array()) {
+      record.mDone.push_back(ReadDone(each.get_array()));
+    }
+  }
+  for (const json::value& each : ArrayField(object, "tasks")) {
+    if (each.is_array()) {
+      record.mTasks.push_back(ReadTask(each.get_array(), aJob));
+    }
+  }
+  return record;
+}
+
+work_state ProgressState(std::string_view aRecord)
+{
+  const auto read = Settle([&] { return ParseJsonObject(aRecord); });
+  return read ? StateOf(TextField(read.value(), "state")) : work_state::kQueued;
+}
+
+// ---- the accepted job ---------------------------------------------------------------------------
+
+namespace {
+
+json::object StepObject(const work_step& aStep)
+{
+  json::object object{ { "count", aStep.mCount },
+                       { "accelerators", aStep.mDemand.mAccelerators },
+                       { "milli_cores", aStep.mDemand.mMilliCores },
+                       { "memory_mb", aStep.mDemand.mMemoryMb },
+                       { "estimate_ms", aStep.mEstimate.count() } };
+  const auto setSwitch = [&](const char* aName, bool aValue) {
+    if (aValue) {
+      object[aName] = true;
+    }
+  };
+  const auto setNumber = [&](const char* aName, int aValue) {
+    if (aValue != 0) {
+      object[aName] = aValue;
+    }
+  };
+  const auto setText = [&](const char* aName, const std::string& aValue) {
+    if (!aValue.empty()) {
+      object[aName] = aValue;
+    }
+  };
+  if (!aStep.mAfter.empty()) {
+    object["after"] = json::array(aStep.mAfter.begin(), aStep.mAfter.end());
+  }
+  setSwitch("gang", aStep.mGang);
+  setSwitch("rack_local", aStep.mRackLocal);
+  setSwitch("checkpoints", aStep.mCheckpoints);
+  setSwitch("lasting", aStep.mLasting);
+  setSwitch("fills", aStep.mFills);
+  setText("label", aStep.mRequiredLabel);
+  setText("data_rack", aStep.mDataRack);
+  setNumber("per_worker", aStep.mPerWorkerLimit);
+  setNumber("may_miss", aStep.mMayMiss);
+  return object;
+}
+
+work_step ReadStep(const json::object& aObject)
+{
+  work_step step;
+  step.mCount = static_cast<int>(NumberField(aObject, "count", 1));
+  step.mDemand = { static_cast<int>(NumberField(aObject, "accelerators")),
+                   NumberField(aObject, "milli_cores"), NumberField(aObject, "memory_mb") };
+  step.mEstimate = milliseconds(NumberField(aObject, "estimate_ms"));
+  std::ranges::transform(
+    ArrayField(aObject, "after"), std::back_inserter(step.mAfter),
+    [](const json::value& aValue) { return static_cast<int>(aValue.to_number<std::int64_t>()); });
+  step.mGang = SwitchField(aObject, "gang");
+  step.mRackLocal = SwitchField(aObject, "rack_local");
+  step.mCheckpoints = SwitchField(aObject, "checkpoints");
+  step.mLasting = SwitchField(aObject, "lasting");
+  step.mFills = SwitchField(aObject, "fills");
+  step.mRequiredLabel = TextField(aObject, "label");
+  step.mDataRack = TextField(aObject, "data_rack");
+  step.mPerWorkerLimit = static_cast<int>(NumberField(aObject, "per_worker"));
+  step.mMayMiss = static_cast<int>(NumberField(aObject, "may_miss"));
+  return step;
+}
+
+json::object PolicyObject(const work_queue& aQueue)
+{
+  return { { "service", aQueue.mService },
+           { "priority", aQueue.mPriority },
+           { "attempts", aQueue.mAttempts },
+           { "slack", aQueue.mSlack },
+           { "target_ms", aQueue.mTarget.count() } };
+}
+
+work_queue ReadPolicy(const json::object& aObject)
+{
+  work_queue queue;
+  queue.mService = TextField(aObject, "service");
+  queue.mPriority = static_cast<int>(NumberField(aObject, "priority"));
+  queue.mAttempts = static_cast<int>(NumberField(aObject, "attempts", 1));
+  const json::value* slack = aObject.if_contains("slack");
+  queue.mSlack = slack != nullptr && slack->is_number() ? slack->to_number<double>() : 1;
+  queue.mTarget = milliseconds(NumberField(aObject, "target_ms"));
+  return queue;
+}
+
+std::int64_t ToMilliseconds(wall_time aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime.time_since_epoch()).count();
+}
+
+} // namespace
+
+std::string FormatWorkJob(const work_job& aJob)
+{
+  json::array steps;
+  std::ranges::transform(aJob.mSteps, std::back_inserter(steps), StepObject);
+  json::object object{ { "id", aJob.mId },
+                       { "queue", aJob.mQueue },
+                       { "organisation", aJob.mOrganisation },
+                       { "payload", aJob.mPayload },
+                       { "accepted_ms", ToMilliseconds(aJob.mAccepted) },
+                       { "policy", PolicyObject(aJob.mPolicy) },
+                       { "steps", std::move(steps) } };
+  if (aJob.mOccurrences > 0) {
+    object["occurrences"] = aJob.mOccurrences;
+    object["first_due_ms"] = ToMilliseconds(aJob.mFirstDue);
+    object["interval_ms"] = aJob.mInterval.count();
+  }
+  return json::serialize(object);
+}
+
+result<work_job> ParseWorkJob(std::string_view aJson)
+{
+  BOOST_LEAF_AUTO(object, ParseJsonObject(aJson));
+  work_job job;
+  job.mId = TextField(object, "id");
+  job.mQueue = TextField(object, "queue");
+  job.mOrganisation = TextField(object, "organisation");
+  job.mPayload = TextField(object, "payload");
+  job.mAccepted = wall_time(milliseconds(NumberField(object, "accepted_ms")));
+  job.mPolicy = ReadPolicy(ObjectField(object, "policy"));
+  job.mOccurrences = static_cast<int>(NumberField(object, "occurrences"));
+  job.mFirstDue = wall_time(milliseconds(NumberField(object, "first_due_ms")));
+  job.mInterval = milliseconds(NumberField(object, "interval_ms"));
+  for (const json::value& each : ArrayField(object, "steps")) {
+    if (!each.is_object()) {
+      return MakeError(error_kind::kInvalid, "job", "a step that is no object");
+    }
+    job.mSteps.push_back(ReadStep(each.get_object()));
+  }
+  if (job.mId.empty() || job.mSteps.empty()) {
+    return MakeError(error_kind::kInvalid, "job", "no id or no steps");
+  }
+  return job;
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libwork/work_reports.cpp
@@ -0,0 +1,130 @@
+#include "work_table.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace briarwind {
+
+namespace {
+
+const listed_run* FindListed(const worker_report& aReport, const run_id& aRun)
+{
+  const auto found = std::ranges::find(aReport.mRunning, aRun, &listed_run::mRun);
+  return found == aReport.mRunning.end() ? nullptr : &*found;
+}
+
+// Whether a run that the worker does not list is over, as this report left no doubt about it. The
+// report has raised the fence, so that no order of an earlier leader can be carried out any more.
+bool IsSurelyGone(const run_entry& aRun, instant aSent)
+{
+  switch (aRun.mPhase) {
+    case run_phase::kRestored:
+      return true;
+    case run_phase::kRunning:
+      return aRun.mStartAnswered <= aSent;
+    case run_phase::kStopping:
+      return aRun.mStopAnswered && aRun.mStopAnsweredAt <= aSent;
+    case run_phase::kRecording:
+    case run_phase::kStarting:
+      return false;
+  }
+  return false;
+}
+
+} // namespace
+
+// A worker that has started anew holds nothing of its former life. An order that was under way then
+// may have reached the new life, so its run is stopped before its task is started elsewhere.
+void work_core::state::NewLife(worker_entry& aWorker, std::int64_t aIncarnation, instant aNow)
+{
+  aWorker.mInfo.mIncarnation = aIncarnation;
+  aWorker.mPendingEnds.clear();
+  aWorker.mAcknowledged = 0;
+  aWorker.mSeenEnds = 0;
+  aWorker.mAckDue = false;
+  aWorker.mInTouch = false;
+  aWorker.mForeign.clear();
+  std::vector<run_id> gone;
+  for (auto& [id, run] : aWorker.mRuns) {
+    const bool unanswered = run.mPhase == run_phase::kStarting ||
+                            (run.mPhase == run_phase::kStopping && !run.mStopAnswered);
+    if (run.mIncarnation != aIncarnation && run.mPhase != run_phase::kRecording && !unanswered) {
+      gone.push_back(id);
+    }
+  }
+  for (const run_id& each : gone) {
+    RunGone(aWorker, each, "worker started anew", aNow);
+  }
+}
+
+void work_core::state::TakeReport(worker_entry& aWorker, const worker_report& aReport,
+                                  instant aSent, instant aNow)
+{
+  std::vector<std::pair<run_id, std::string_view>> toStop;
+  std::vector<run_id> gone;
+  for (auto& [id, run] : aWorker.mRuns) {
+    const listed_run* listed = FindListed(aReport, id);
+    if (listed == nullptr) {
+      const bool ended = std::ranges::count(aReport.mEnds, id, &listed_end::mRun) > 0;
+      if (!ended && !aReport.mMoreEnds && IsSurelyGone(run, aSent)) {
+        gone.push_back(id);
+      }
+      continue;
+    }
+    if (run.mPhase == run_phase::kStarting || run.mPhase == run_phase::kRestored) {
+      run.mPhase = run_phase::kRunning;
+      run.mPhaseSince = aNow;
+      run.mStartAnswered = aNow;
+      run.mProgressAt = aNow;
+      run.mIncarnation = aWorker.mInfo.mIncarnation;
+      const task_entry* task = FindTask(id.mTask);
+      if (task == nullptr || task->mPhase != task_phase::kLive || task->mRun != id.mRun) {
+        toStop.emplace_back(id, "no longer wanted");
+      }
+    }
+    if (run.mPercent != listed->mPercent) {
+      run.mPercent = listed->mPercent;
+      run.mProgressAt = aNow;
+    } else if (run.mPhase == run_phase::kRunning && run.mPercent < 100 &&
+               aNow - run.mProgressAt > mOptions.mStallTime) {
+      toStop.emplace_back(id, "no progress");
+    }
+    task_entry* task = FindTask(id.mTask);
+    if (task != nullptr && task->mRun == id.mRun && !listed->mCheckpoint.empty()) {
+      task->mCheckpoint = listed->mCheckpoint;
+    }
+  }
+  for (const listed_end& each : aReport.mEnds) {
+    if (each.mNumber <= aWorker.mSeenEnds) {
+      continue;
+    }
+    aWorker.mSeenEnds = each.mNumber;
+    if (aWorker.mRuns.contains(each.mRun)) {
+      RunEnded(aWorker, each.mRun, each.mHow, each.mCheckpoint, aNow);
+      if (const job_entry* job = FindJob(each.mRun.mTask.mJob);
+          job != nullptr && job->mChangeStored < job->mChange) {
+        aWorker.mPendingEnds[each.mNumber] = { job->mSpec.mId, job->mChange };
+      }
+    }
+  }
+  for (const run_id& each : gone) {
+    RunGone(aWorker, each, "not listed by its worker", aNow);
+  }
+  for (const auto& [run, reason] : toStop) {
+    if (reason == "no progress") {
+      Distrust(aWorker, aNow, reason);
+    }
+    StopOthersOfGang(run, aNow);
+    StopRun(aWorker, run, reason, aNow);
+  }
+  aWorker.mForeign.clear();
+  for (const listed_run& each : aReport.mRunning) {
+    if (!aWorker.mRuns.contains(each.mRun)) {
+      aWorker.mForeign.insert(each.mRun);
+      mActions.emplace_back(stop_run{ each.mRun, aWorker.mInfo.mId });
+    }
+  }
+  AdvanceAcknowledged(aWorker);
+}
+
+} // namespace briarwind
--- /dev/null
+++ b/src/libwork/work_schedule.cpp
@@ -0,0 +1,292 @@
+#include "work_placement.h"
+#include "work_table.h"
+
+#include <algorithm>
+#include <ranges>
+#include <tuple>
+
+namespace briarwind {
+
+namespace {
+
+// Rank of a unit: guaranteed claims, then others that may stop work, then the rest by priority.
+constexpr int kRankGuaranteed = 0;
+constexpr int kRankUrgent = 1;
+constexpr int kRankOther = 2;
+// A job that is later than this many times its objective earns its caller nothing any more.
+constexpr int kHopelessFactor = 3;
+
+const work_queue& QueueOf(const work_settings& aSettings, const job_entry& aJob)
+{
+  const auto found = aSettings.mQueues.find(aJob.mSpec.mQueue);
+  return found == aSettings.mQueues.end() ? aJob.mSpec.mPolicy : found->second;
+}
+
+// Longest chain of declared run times over the steps.
+milliseconds LongestChain(const work_job& aJob)
+{
+  std::vector<milliseconds> until;
+  for (const work_step& step : aJob.mSteps) {
+    milliseconds before{ 0 };
+    for (const int each : step.mAfter) {
+      if (each >= 0 && each < static_cast<int>(until.size())) {
+        before = std::max(before, until[static_cast<std::size_t>(each)]);
+      }
+    }
+    until.push_back(before + step.mEstimate);
+  }
+  return until.empty() ? milliseconds{ 0 } : std::ranges::max(until);
+}
+
+bool TurnHasCome(const occurrence_entry& aOccurrence, const work_step& aStep)
+{
+  return std::ranges::all_of(aStep.mAfter, [&](int aBefore) {
+    const auto index = static_cast<std::size_t>(aBefore);
+    return index < aOccurrence.mSteps.size() && aOccurrence.mSteps[index].IsDone();
+  });
+}
+
+bool HasTasksToPlace(const step_entry& aStep)
+{
+  return std::ranges::any_of(aStep.mTasks, [](const task_entry& aTask) {
+    return aTask.mPhase == task_phase::kWaiting || aTask.mPhase == task_phase::kClaimed;
+  });
+}
+
+int AcceleratorsOf(const work_job& aJob)
+{
+  int sum = 0;
+  for (const work_step& step : aJob.mSteps) {
+    sum += step.mCount * step.mDemand.mAccelerators;
+  }
+  return sum;
+}
+
+} // namespace
+
+const work_step& ready_unit::Spec() const
+{
+  return mJob->mSpec.mSteps[static_cast<std::size_t>(mStep)];
+}
+
+step_entry& ready_unit::Entry() const
+{
+  return mOccurrence->mSteps[static_cast<std::size_t>(mStep)];
+}
+
+task_id ready_unit::Task(int aIndex) const
+{
+  return { mJob->mSpec.mId, mOccurrence->mNumber, mStep, aIndex };
+}
+
+std::vector<ready_unit> work_core::state::ReadyUnits(instant aNow)
+{
+  std::vector<ready_unit> units;
+  for (auto& [id, job] : mJobs) {
+    if (job.IsOver()) {
+      continue;
+    }
+    const work_queue& queue = QueueOf(mSettings, job);
+    const auto chain = LongestChain(job.mSpec);
+    const auto objective =
+      std::chrono::duration_cast<milliseconds>(queue.mSlack * chain) + queue.mTarget;
+    for (occurrence_entry& occurrence : job.mOccurrences) {
+      for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
+        step_entry& entry = occurrence.mSteps[step];
+        if (entry.IsDone() || !TurnHasCome(occurrence, job.mSpec.mSteps[step])) {
+          continue;
+        }
+        if (!std::exchange(entry.mReady, true)) {
+          entry.mReadySince = aNow;
+        }
+        if (HasTasksToPlace(entry)) {
+          const bool hopeless = aNow > job.mKnownSince + kHopelessFactor * objective;
+          units.push_back(
+            { &job, &occurrence, static_cast<int>(step), &queue, false, job.mKnownSince + objective,
+              queue.mPriority == 0 ? kRankUrgent
+                                   : kRankOther + queue.mPriority + (hopeless ? 100 : 0) });
+        }
+      }
+    }
+  }
+  RankGuaranteed(units);
+  std::ranges::sort(units, [](const ready_unit& aLeft, const ready_unit& aRight) {
+    return std::tuple(aLeft.mRank, aLeft.mObjective, aLeft.mJob->mSpec.mId, aLeft.mStep) <
+           std::tuple(aRight.mRank, aRight.mObjective, aRight.mJob->mSpec.mId, aRight.mStep);
+  });
+  return units;
+}
+
+// An organisation's claims count in the order in which they came, up to what it is guaranteed.
+void work_core::state::RankGuaranteed(std::vector<ready_unit>& aUnits)
+{
+  std::map<std::string, std::vector<const job_entry*>> claims;
+  for (const auto& [id, job] : mJobs) {
+    if (!job.IsOver() && QueueOf(mSettings, job).mPriority == 0) {
+      claims[job.mSpec.mOrganisation].push_back(&job);
+    }
+  }
+  std::set<const job_entry*> guaranteed;
+  for (auto& [organisation, jobs] : claims) {
+    std::ranges::sort(jobs, {}, &job_entry::mKnownSince);
+    const auto granted = mSettings.mGuaranteedAccelerators.find(organisation);
+    int left = granted == mSettings.mGuaranteedAccelerators.end() ? 0 : granted->second;
+    for (const job_entry* job : jobs) {
+      left -= AcceleratorsOf(job->mSpec);
+      if (left >= 0) {
+        guaranteed.insert(job);
+      }
+    }
+  }
+  for (ready_unit& unit : aUnits) {
+    if (guaranteed.contains(unit.mJob)) {
+      unit.mGuaranteed = true;
+      unit.mRank = kRankGuaranteed;
+    }
+  }
+}
+
+bool work_core::state::IsUsable(const worker_entry& aWorker, const ready_unit& aUnit,
+                                instant aNow) const
+{
+  const work_step& spec = aUnit.Spec();
+  const registered_worker& info = aWorker.mInfo;
+  return aWorker.mListed && aWorker.mInTouch && aWorker.mForeign.empty() && !info.mLeaving &&
+         info.mService == aUnit.mQueue->mService && aWorker.mDistrustedUntil <= aNow &&
+         std::ranges::count(mSettings.mWithdrawnDomains, info.mDomain) == 0 &&
+         (spec.mRequiredLabel.empty() || std::ranges::count(info.mLabels, spec.mRequiredLabel) > 0);
+}
+
+void work_core::state::PlaceAll(instant aNow)
+{
+  std::vector<ready_unit> units = ReadyUnits(aNow);
+  for (ready_unit& unit : units) {
+    CheckClaims(unit, aNow);
+  }
+  for (ready_unit& unit : units) {
+    if (!PlaceUnit(unit, aNow) && unit.mQueue->mPriority == 0) {
+      PlaceByEviction(unit, aNow);
+    }
+  }
+}
+
+bool work_core::state::PlaceUnit(ready_unit& aUnit, instant aNow)
+{
+  const std::vector<int> waiting = WaitingTasks(aUnit);
+  if (waiting.empty()) {
+    return true;
+  }
+  if (aUnit.Spec().mGang && waiting.size() != aUnit.Entry().mTasks.size()) {
+    return true; // members of the last run are not gone yet
+  }
+  std::vector<worker_entry*> usable;
+  for (auto& [id, worker] : mWorkers) {
+    if (IsUsable(worker, aUnit, aNow)) {
+      usable.push_back(&worker);
+    }
+  }
+  const bool busy = IsBusy(usable);
+  const auto waited = aNow - aUnit.Entry().mReadySince;
+  const milliseconds patience =
+    busy ? std::max(mOptions.mLocalityWait, aUnit.Spec().mEstimate) : mOptions.mLocalityWait;
+  const bool anywhere = waited >= patience;
+  const placement_result placed = FindPlaces(aUnit, waiting, usable, anywhere);
+  Launch(aUnit, placed.mPlaces, aNow);
+  return placed.mPlaces.size() == waiting.size();
+}
+
+void work_core::state::Launch(const ready_unit& aUnit,
+                              const std::vector<std::pair<int, worker_entry*>>& aPlaces,
+                              instant aNow)
+{
+  if (aPlaces.empty()) {
+    return;
+  }
+  const work_step& spec = aUnit.Spec();
+  step_entry& step = aUnit.Entry();
+  run_number common = 0;
+  for (const task_entry& each : step.mTasks) {
+    common = std::max(common, each.mRun + 1);
+  }
+  Changed(*aUnit.mJob);
+  aUnit.mJob->mState = work_state::kRunning;
+  for (const auto& [index, worker] : aPlaces) {
+    task_entry& task = step.mTasks[static_cast<std::size_t>(index)];
+    task.mPhase = task_phase::kLive;
+    task.mRun = spec.mGang ? common : task.mRun + 1;
+    task.mWorker = worker->mInfo.mId;
+    run_entry run;
+    run.mDemand = spec.mDemand;
+    run.mDemand.mMilliCores = spec.mFills ? 0 : spec.mDemand.mMilliCores;
+    run.mGang = spec.mGang;
+    run.mRecordedIn = aUnit.mJob->mChange;
+    run.mPhaseSince = aNow;
+    run.mStartedAt = aNow;
+    run.mIncarnation = worker->mInfo.mIncarnation;
+    worker->mUsed += run.mDemand;
+    worker->mRuns.emplace(run_id{ aUnit.Task(index), task.mRun }, run);
+  }
+}
+
+// Claims turn into runs as soon as what they wait for is gone; those of a gang all at once.
+void work_core::state::CheckClaims(ready_unit& aUnit, instant aNow)
+{
+  const work_step& spec = aUnit.Spec();
+  step_entry& step = aUnit.Entry();
+  std::vector<std::pair<int, worker_entry*>> ready;
+  std::map<const worker_entry*, task_demand> taken;
+  std::size_t claimed = 0;
+  bool broken = false;
+  for (std::size_t i = 0; i < step.mTasks.size(); ++i) {
+    const task_entry& task = step.mTasks[i];
+    if (task.mPhase != task_phase::kClaimed) {
+      continue;
+    }
+    ++claimed;
+    const auto worker = mWorkers.find(task.mWorker);
+    if (worker == mWorkers.end() || !IsUsable(worker->second, aUnit, aNow)) {
+      broken = true;
+      continue;
+    }
+    task_demand& used = taken.try_emplace(&worker->second, worker->second.mUsed).first->second;
+    if (FitsInto(used + spec.mDemand, worker->second.mInfo.mCapacity)) {
+      used += spec.mDemand;
+      ready.emplace_back(static_cast<int>(i), &worker->second);
+    }
+  }
+  if (claimed == 0) {
+    return;
+  }
+  if (broken) {
+    ReleaseClaims(*aUnit.mJob);
+    return;
+  }
+  if (spec.mGang && ready.size() != claimed) {
+    return;
+  }
+  for (const auto& [index, worker] : ready) {
+    worker->mClaimed -= spec.mDemand;
+  }
+  Launch(aUnit, ready, aNow);
+}
+
+void work_core::state::ReleaseClaims(job_entry& aJob)
+{
+  for (occurrence_entry& occurrence : aJob.mOccurrences) {
+    for (std::size_t i = 0; i < occurrence.mSteps.size(); ++i) {
+      for (task_entry& task : occurrence.mSteps[i].mTasks) {
+        if (task.mPhase != task_phase::kClaimed) {
+          continue;
+        }
+        if (const auto worker = mWorkers.find(task.mWorker); worker != mWorkers.end()) {
+          worker->second.mClaimed -= aJob.mSpec.mSteps[i].mDemand;
+        }
+        task.mPhase = task_phase::kWaiting;
+        task.mWorker.clear();
+        mReplan = true;
+      }
+    }
+  }
+}
+
+} // namespace briarwind
