Detour through a peer: a late call no longer leads back onto it; SIGHUP reloads the settings

SIGHUP ended the process (status 129). Ruled out: the watch (it listed as soon as its calls got through). Change: only the peer that failed is left; SIGHUP and a changed file reload the settings.

--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds kOutOfRotation{ 2'600 };
 // What is left of the grace time once callers were answered is kept for the exit.
 constexpr milliseconds kExitMargin{ 700 };
+// The settings file may change without a signal; nothing in it has to be in force sooner.
+constexpr milliseconds kReloadEvery{ 2'000 };
 constexpr milliseconds kOrdersDeadline{ 700 };
 constexpr milliseconds kOrdersPoll{ 10 };
 constexpr std::string_view kStorePath = "/v1/store/";
@@ -84,6 +86,18 @@
                              Field("store", ToString(mSettings.mStore)) });
     mView.Start();
     mLead.Start();
+    mRuntime.Spawn([this] { FollowSettingsFile(); });
+  }
+
+  void FollowSettingsFile()
+  {
+    while (true) {
+      SleepFor(kReloadEvery);
+      mAdapters.mReload();
+      if (const auto dropped = TakeDroppedLines(); dropped > 0) {
+        LogEvent(kLogLinesDropped, { Field("lines", dropped) });
+      }
+    }
   }
 
   bool IsReady() const { return !mStopping && mView.Settings().mVersion > 0; }
@@ -207,8 +221,13 @@
 int control_node::Run()
 {
   mState->Start();
-  constexpr std::array kStopSignals{ SIGTERM, SIGINT };
-  return mState->Stop(mState->mRuntime.WaitForSignal(kStopSignals));
+  constexpr std::array kSignals{ SIGTERM, SIGINT, SIGHUP };
+  int signal = mState->mRuntime.WaitForSignal(kSignals);
+  while (signal == SIGHUP) {
+    mState->mAdapters.mReload();
+    signal = mState->mRuntime.WaitForSignal(kSignals);
+  }
+  return mState->Stop(signal);
 }
 
 } // namespace briarwind
--- a/src/libcontrol/detour_store.cpp
+++ b/src/libcontrol/detour_store.cpp
@@ -61,20 +61,29 @@
     NoteDirect(answer.has_value() || MeansReached(answer.error().mKind));
     return answer;
   }
+  const std::string asked = mPeer;
   const auto sent = AskPeer(aCall, aDeadline);
   if (!sent) {
-    NextPeer();
+    LeavePeer(asked);
     return boost::outcome_v2::failure(sent.error());
   }
   io_result<Value> answer = aRead(sent.value());
   const bool reached = answer.has_value() || MeansReached(answer.error().mKind);
   mMetrics.Count(kStoreDetours, reached ? "answered" : ToString(answer.error().mKind));
   if (!reached) {
-    NextPeer();
+    LeavePeer(asked);
   }
   return answer;
 }
 
+// A call may outlast the detour that it began on; it must not lead back onto it.
+void detour_store::LeavePeer(const std::string& aPeer)
+{
+  if (mPeer == aPeer) {
+    NextPeer();
+  }
+}
+
 io_result<http_response> detour_store::AskPeer(const store_relay::call& aCall, instant aDeadline)
 {
   const auto peer = Settle([&] { return ParseEndpoint(mPeer); });
--- a/src/libcontrol/detour_store.h
+++ b/src/libcontrol/detour_store.h
@@ -42,6 +42,7 @@
                          instant aDeadline);
   io_result<http_response> AskPeer(const store_relay::call& aCall, instant aDeadline);
   void NoteDirect(bool aWorked);
+  void LeavePeer(const std::string& aPeer);
   void NextPeer();
   void ProbeLoop();
 
