--- a/src/include/briarwind/time.h
+++ b/src/include/briarwind/time.h
@@ -25,11 +25,10 @@
   using duration = std::chrono::nanoseconds;
   using rep = duration::rep;
   using period = duration::period;
-  using time_point = std::chrono::time_point<boot_clock>;
-  static constexpr bool is_steady = true;
-  static time_point now() noexcept;
 };
-using boot_instant = boot_clock::time_point;
+using boot_instant = std::chrono::time_point<boot_clock>;
+
+boot_instant BootNow() noexcept;
 
 /// Time of day for logs and records only; never for a deadline.
 using wall_time = std::chrono::system_clock::time_point;
--- a/src/libcontrol/leadership.cpp
+++ b/src/libcontrol/leadership.cpp
@@ -81,7 +81,7 @@
 
 bool leadership::MayOrder() const
 {
-  return Leads() && boot_clock::now() + kOrderMargin < mValidUntil;
+  return Leads() && BootNow() + kOrderMargin < mValidUntil;
 }
 
 store_condition leadership::Condition() const
@@ -172,7 +172,7 @@
 
 std::optional<std::int64_t> leadership::TryToLead()
 {
-  const boot_instant asked = boot_clock::now();
+  const boot_instant asked = BootNow();
   const auto lease = mStore.Grant(kLeaseTime, monotonic_clock::now() + kCallDeadline);
   if (!lease) {
     return std::nullopt;
@@ -216,7 +216,7 @@
     if (mEpoch != aEpoch) {
       return;
     }
-    const boot_instant asked = boot_clock::now();
+    const boot_instant asked = BootNow();
     const auto renewed = mStore.Renew(mLease, monotonic_clock::now() + kRenewDeadline);
     if (mEpoch != aEpoch) {
       return;
--- a/src/libcontrol/store_relay_wire.cpp
+++ b/src/libcontrol/store_relay_wire.cpp
@@ -176,7 +176,7 @@
   served_call{ "end", ServeEnd },
 };
 
-call MakeCall(std::string_view aName, json::object aBody)
+call MakeCall(std::string_view aName, const json::object& aBody)
 {
   return { std::string(aName), json::serialize(aBody) };
 }
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -398,8 +398,8 @@
       return;
     }
     ++mWrites;
-    mRuntime.Spawn([this, writes = std::move(writes)]() mutable {
-      RunWrite(std::move(writes));
+    mRuntime.Spawn([this, writes = std::move(writes)] {
+      RunWrite(writes);
       --mWrites;
       Pump();
     });
@@ -407,7 +407,7 @@
 }
 
 // Repeated until its fate is known: the conditions let one attempt through at most.
-void work_driver::RunWrite(std::vector<progress_write> aWrites)
+void work_driver::RunWrite(const std::vector<progress_write>& aWrites)
 {
   const std::int64_t epoch = mCore.Epoch();
   if (!IsReign(epoch)) {
--- a/src/libcontrol/work_driver.h
+++ b/src/libcontrol/work_driver.h
@@ -58,7 +58,7 @@
   void StartLooks();
   void RunLook(const std::string& aWorker, const look_plan& aPlan);
   void StartWrites();
-  void RunWrite(std::vector<progress_write> aWrites);
+  void RunWrite(const std::vector<progress_write>& aWrites);
   bool SettleWrite(const std::vector<progress_write>& aWrites, const transaction_result& aResult);
   void ForgetOld();
   void Deposed(std::string_view aReason);
--- a/src/libutil/time.cpp
+++ b/src/libutil/time.cpp
@@ -4,11 +4,11 @@
 
 namespace briarwind {
 
-boot_clock::time_point boot_clock::now() noexcept
+boot_instant BootNow() noexcept
 {
   timespec read{};
   ::clock_gettime(CLOCK_BOOTTIME, &read);
-  return time_point(seconds(read.tv_sec) + std::chrono::nanoseconds(read.tv_nsec));
+  return boot_instant(seconds(read.tv_sec) + std::chrono::nanoseconds(read.tv_nsec));
 }
 
 } // namespace briarwind
--- /dev/null
+++ b/src/libwork/testing/fleet_simulation.cpp
@@ -0,0 +1,492 @@
+#include "fleet_simulation.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <ranges>
+
+namespace briarwind::testing {
+
+namespace {
+
+constexpr milliseconds kStep{ 5 };
+constexpr milliseconds kStopTakes{ 120 };
+constexpr milliseconds kMaxHold{ 10'000 };
+constexpr milliseconds kGangTimeout{ 3'000 };
+constexpr milliseconds kLookEvery{ 100 };
+// A leader that was deposed notices within its lease.
+constexpr milliseconds kZombieTime{ 400 };
+constexpr milliseconds kLatest{ 12'000 };
+
+wall_time WallAt(instant aNow)
+{
+  return wall_time(std::chrono::duration_cast<milliseconds>(aNow.time_since_epoch()));
+}
+
+} // namespace
+
+simulated_worker::simulated_worker(registered_worker aInfo, instant aBorn)
+  : mInfo(std::move(aInfo))
+  , mBorn(aBorn)
+  , mAdvanced(aBorn)
+{
+}
+
+milliseconds simulated_worker::Clock(instant aNow) const
+{
+  return std::chrono::duration_cast<milliseconds>(aNow - mBorn);
+}
+
+start_outcome simulated_worker::Start(const run_id& aRun, std::int64_t aEpoch, milliseconds aUntil,
+                                      milliseconds aWork, instant aNow)
+{
+  if (aEpoch < mFence) {
+    return start_outcome::kFenced;
+  }
+  mFence = aEpoch;
+  if (mRuns.contains(aRun)) {
+    return start_outcome::kStarted;
+  }
+  const auto ended = mHighestEnded.find(aRun.mTask);
+  if (ended != mHighestEnded.end() && aRun.mRun <= ended->second) {
+    return start_outcome::kOldRun;
+  }
+  if (aUntil < Clock(aNow)) {
+    return start_outcome::kLate;
+  }
+  mLeaseUntil = std::max(mLeaseUntil, std::min(aUntil, Clock(aNow) + kMaxHold));
+  mRuns[aRun] = { aWork, aWork, {}, false, mFailsAll };
+  return start_outcome::kStarted;
+}
+
+stop_outcome simulated_worker::Stop(const run_id& aRun, std::int64_t aEpoch, instant aNow)
+{
+  if (aEpoch < mFence) {
+    return stop_outcome::kFenced;
+  }
+  mFence = aEpoch;
+  run_number& highest = mHighestEnded[aRun.mTask];
+  highest = std::max(highest, aRun.mRun);
+  if (const auto found = mRuns.find(aRun); found != mRuns.end() && !found->second.mStopping) {
+    found->second.mStopping = true;
+    found->second.mStoppedAt = aNow;
+  }
+  return stop_outcome::kStopping;
+}
+
+std::optional<worker_report> simulated_worker::Look(const look_plan& aPlan, std::int64_t aEpoch,
+                                                    instant aNow)
+{
+  if (aEpoch < mFence) {
+    return std::nullopt;
+  }
+  mFence = aEpoch;
+  if (aPlan.mLeaseUntil.count() > 0) {
+    mLeaseUntil = std::max(mLeaseUntil, std::min(aPlan.mLeaseUntil, Clock(aNow) + kMaxHold));
+  }
+  std::erase_if(mEnds, [&](const listed_end& aEnd) { return aEnd.mNumber <= aPlan.mAcknowledged; });
+  worker_report report;
+  report.mIncarnation = mInfo.mIncarnation;
+  report.mClock = Clock(aNow);
+  for (const auto& [id, live] : mRuns) {
+    const int percent = static_cast<int>(100 * (live.mWhole - live.mLeft) / live.mWhole);
+    report.mRunning.push_back({ id, {}, percent });
+  }
+  report.mEnds = mEnds;
+  return report;
+}
+
+void simulated_worker::End(const run_id& aRun, run_end aHow)
+{
+  run_number& highest = mHighestEnded[aRun.mTask];
+  highest = std::max(highest, aRun.mRun);
+  mEnds.push_back({ ++mLastEnd, aRun, aHow, {} });
+}
+
+std::optional<run_end> simulated_worker::AdvanceRun(live_run& aRun, milliseconds aPassed,
+                                                    instant aNow) const
+{
+  if (mLeaseUntil < Clock(aNow)) {
+    return run_end::kLapsed;
+  }
+  if (aRun.mStopping) {
+    return aNow - aRun.mStoppedAt >= kStopTakes ? std::optional(run_end::kStopped) : std::nullopt;
+  }
+  aRun.mLeft -= mStandsStill ? milliseconds{ 0 } : aPassed;
+  if (aRun.mLeft.count() > 0) {
+    return std::nullopt;
+  }
+  return aRun.mFails ? run_end::kFailed : run_end::kDone;
+}
+
+void simulated_worker::Advance(instant aNow)
+{
+  const auto passed = std::chrono::duration_cast<milliseconds>(aNow - mAdvanced);
+  mAdvanced = aNow;
+  for (auto each = mRuns.begin(); each != mRuns.end();) {
+    if (const auto how = AdvanceRun(each->second, passed, aNow)) {
+      End(each->first, *how);
+      each = mRuns.erase(each);
+    } else {
+      ++each;
+    }
+  }
+  if (mLeaseUntil < Clock(aNow)) {
+    std::ranges::transform(mEnds, std::inserter(mLapsedEnds, mLapsedEnds.end()),
+                           &listed_end::mNumber);
+  }
+}
+
+void simulated_worker::Crash(instant aNow)
+{
+  mRuns.clear();
+  mEnds.clear();
+  mLapsedEnds.clear();
+  mHighestEnded.clear();
+  mLastEnd = 0;
+  mFence = 0;
+  mLeaseUntil = milliseconds{ 0 };
+  mBorn = aNow;
+  ++mInfo.mIncarnation;
+}
+
+// ---- the simulation -----------------------------------------------------------------------------
+
+fleet_simulation::fleet_simulation(int aWorkers, std::uint64_t aSeed, const work_options& aOptions)
+  : mOptions(aOptions)
+  , mRandom(aSeed)
+  , mNow(instant() + std::chrono::hours(1))
+{
+  constexpr int kPerRack = 4;
+  for (int i = 0; i < aWorkers; ++i) {
+    registered_worker info;
+    info.mId = fmt::format("w{:02}", i);
+    info.mService = "pool";
+    info.mAddress = fmt::format("10.0.0.{}:80", i + 1);
+    info.mDomain = i % 2 == 0 ? "d1" : "d2";
+    info.mRack = fmt::format("r{}", i / kPerRack);
+    info.mLabels = { "plain", info.mRack };
+    info.mCapacity = { 8, 128'000, 262'144 };
+    info.mIncarnation = 1'000;
+    mWorkers.push_back(std::make_unique<simulated_worker>(info, mNow - std::chrono::minutes(1)));
+  }
+  mSettings.mQueues["urgent"] = { "pool", 0, 3, 1.5, milliseconds(250) };
+  mSettings.mQueues["batch"] = { "pool", 1, 3, 3, milliseconds(1'000) };
+  ChangeLeader();
+}
+
+bool fleet_simulation::Chance(double aShare)
+{
+  return std::uniform_real_distribution<double>(0, 1)(mRandom) < aShare;
+}
+
+std::vector<registered_worker> fleet_simulation::Registry() const
+{
+  std::vector<registered_worker> listed;
+  for (std::size_t i = 0; i < mWorkers.size(); ++i) {
+    if (!mUnlisted.contains(i)) {
+      listed.push_back(mWorkers[i]->mInfo);
+      listed.back().mClock = mWorkers[i]->Clock(mNow);
+    }
+  }
+  return listed;
+}
+
+std::size_t fleet_simulation::IndexOf(const std::string& aWorker) const
+{
+  const auto found =
+    std::ranges::find(mWorkers, aWorker, [](const auto& aEach) { return aEach->mInfo.mId; });
+  return static_cast<std::size_t>(found - mWorkers.begin());
+}
+
+void fleet_simulation::ChangeLeader()
+{
+  if (mLeader != nullptr) {
+    mLeader->mLostLead = mNow;
+  }
+  auto next = std::make_unique<leader>();
+  next->mEpoch = ++mRevision;
+  next->mCore = std::make_unique<work_core>(mOptions);
+  next->mCore->BeginReign(next->mEpoch, mNow);
+  next->mCore->SetSettings(mSettings, mNow);
+  for (const auto& [id, job] : mJobs) {
+    stored_job stored{ job, mCancelled.contains(id), {}, 0 };
+    if (const auto record = mRecords.find(id); record != mRecords.end()) {
+      stored.mProgress = record->second.mValue;
+      stored.mProgressRevision = record->second.mRevision;
+    }
+    next->mCore->AddJob(stored, mNow, WallAt(mNow));
+  }
+  next->mCore->SetWorkers(Registry(), mNow);
+  mLeader = next.get();
+  mLeaders.push_back(std::move(next));
+}
+
+void fleet_simulation::SetSettings(const work_settings& aSettings)
+{
+  mSettings = aSettings;
+  Core().SetSettings(mSettings, mNow);
+}
+
+void fleet_simulation::SetCut(int aWorker, bool aCut)
+{
+  const auto index = static_cast<std::size_t>(aWorker);
+  aCut ? static_cast<void>(mCut.insert(index)) : static_cast<void>(mCut.erase(index));
+}
+
+void fleet_simulation::SetListed(int aWorker, bool aListed)
+{
+  const auto index = static_cast<std::size_t>(aWorker);
+  aListed ? static_cast<void>(mUnlisted.erase(index)) : static_cast<void>(mUnlisted.insert(index));
+}
+
+void fleet_simulation::Submit(work_job aJob, milliseconds aWork)
+{
+  aJob.mAccepted = WallAt(mNow);
+  mWork[aJob.mId] = aWork;
+  mJobs[aJob.mId] = aJob;
+  Core().AddJob({ aJob, false, {}, 0 }, mNow, WallAt(mNow));
+}
+
+void fleet_simulation::Cancel(const std::string& aJob)
+{
+  mCancelled.insert(aJob);
+  Core().CancelJob(aJob, mNow);
+}
+
+void fleet_simulation::Run(milliseconds aTime)
+{
+  const instant end = mNow + aTime;
+  while (mNow < end) {
+    Step();
+  }
+}
+
+void fleet_simulation::Step()
+{
+  mNow += kStep;
+  for (auto& worker : mWorkers) {
+    worker->Advance(mNow);
+    for (const listed_end& end : worker->mEnds) {
+      if (end.mHow == run_end::kDone) {
+        mEndedDone.insert(end.mRun.mTask);
+      }
+    }
+  }
+  while (!mLate.empty() && mLate.front().mAt <= mNow) {
+    const late_order order = mLate.front();
+    mLate.pop_front();
+    // An order that waits in a worker's process ends with it.
+    if (mWorkers[order.mWorker]->mInfo.mIncarnation == order.mIncarnation) {
+      Deliver(order.mWorker, order.mOrder, order.mEpoch, order.mUntil);
+    }
+  }
+  CommitDue();
+  for (auto& each : mLeaders) {
+    if (each->mLostLead == instant() || mNow - each->mLostLead < kZombieTime) {
+      RunLeader(*each);
+    }
+  }
+}
+
+void fleet_simulation::RunLeader(leader& aLeader)
+{
+  work_core& core = *aLeader.mCore;
+  if (&aLeader == mLeader) {
+    core.SetWorkers(Registry(), mNow);
+  }
+  Look(aLeader);
+  core.Decide(mNow, WallAt(mNow));
+  for (const work_action& action : core.TakeActions()) {
+    if (const auto* start = std::get_if<start_run>(&action)) {
+      Send(aLeader, *start);
+    } else if (const auto* stop = std::get_if<stop_run>(&action)) {
+      const std::size_t worker = IndexOf(stop->mWorker);
+      const bool lost = mCut.contains(worker) || Chance(mFaults.mLostAnswer);
+      const stop_outcome outcome = mCut.contains(worker)
+                                     ? stop_outcome::kUnknown
+                                     : mWorkers[worker]->Stop(stop->mRun, aLeader.mEpoch, mNow);
+      core.OnStopped(*stop, lost ? stop_outcome::kUnknown : outcome, mNow, mNow);
+    }
+  }
+  for (progress_write& each : core.TakeWrites(16)) {
+    mPending.push_back({ mNow + mFaults.mWriteTime, &aLeader, std::move(each) });
+  }
+}
+
+// A record is written only while its writer leads and over the revision that it knows.
+void fleet_simulation::CommitDue()
+{
+  while (!mPending.empty() && mPending.front().mAt <= mNow) {
+    const pending_write due = mPending.front();
+    mPending.pop_front();
+    if (due.mWriter != mLeader) {
+      continue;
+    }
+    stored_record& record = mRecords[due.mWrite.mJob];
+    if (record.mRevision != due.mWrite.mExpected) {
+      due.mWriter->mCore->OnNotWritten(due.mWrite.mJob, record.mRevision);
+      continue;
+    }
+    record = { due.mWrite.mValue, ++mRevision };
+    due.mWriter->mCore->OnWritten(due.mWrite.mJob, record.mRevision, mNow);
+  }
+}
+
+void fleet_simulation::Send(leader& aLeader, const start_run& aOrder)
+{
+  work_core& core = *aLeader.mCore;
+  const std::size_t worker = IndexOf(aOrder.mWorker);
+  const milliseconds until = core.GrantLease(aOrder.mWorker, mNow);
+  if (mCut.contains(worker)) {
+    core.OnStarted(aOrder, start_outcome::kUnknown, mNow, mNow);
+    return;
+  }
+  if (Chance(mFaults.mLateOrder)) {
+    const milliseconds late(
+      2'000 +
+      static_cast<std::int64_t>(mRandom() % static_cast<std::uint64_t>(kLatest.count() - 2'000)));
+    const late_order order{ mNow + late, worker,         mWorkers[worker]->mInfo.mIncarnation,
+                            aOrder,      aLeader.mEpoch, until };
+    mLate.insert(std::ranges::upper_bound(mLate, order.mAt, {}, &late_order::mAt), order);
+    core.OnStarted(aOrder, start_outcome::kUnknown, mNow, mNow);
+    return;
+  }
+  const start_outcome outcome = Deliver(worker, aOrder, aLeader.mEpoch, until);
+  const bool lost = Chance(mFaults.mLostAnswer);
+  core.OnStarted(aOrder, lost ? start_outcome::kUnknown : outcome, mNow, mNow);
+}
+
+start_outcome fleet_simulation::Deliver(std::size_t aWorker, const start_run& aOrder,
+                                        std::int64_t aEpoch, milliseconds aUntil)
+{
+  simulated_worker& worker = *mWorkers[aWorker];
+  const bool known = worker.mRuns.contains(aOrder.mRun);
+  const start_outcome outcome =
+    worker.Start(aOrder.mRun, aEpoch, aUntil, mWork[aOrder.mRun.mTask.mJob], mNow);
+  if (outcome == start_outcome::kStarted && !known) {
+    CheckStart(aOrder, aWorker);
+    ++mStarts[aOrder.mRun.mTask.mJob];
+    if (mPoisoned.contains(aOrder.mRun.mTask.mJob)) {
+      worker.mRuns[aOrder.mRun].mFails = true;
+    }
+  }
+  return outcome;
+}
+
+// What must hold at each start, from the workers' own lists.
+void fleet_simulation::CheckStart(const start_run& aOrder, std::size_t aWorker)
+{
+  const task_id& task = aOrder.mRun.mTask;
+  const auto broken = [&](std::string_view aWhat) {
+    mBroken.push_back(fmt::format(
+      "{}: run {} on {} at {} ms: {}", ToString(task), aOrder.mRun.mRun,
+      mWorkers[aWorker]->mInfo.mId,
+      std::chrono::duration_cast<milliseconds>(mNow.time_since_epoch()).count(), aWhat));
+  };
+  for (std::size_t i = 0; i < mWorkers.size(); ++i) {
+    for (const auto& [other, run] : mWorkers[i]->mRuns) {
+      if (other.mTask == task && other != aOrder.mRun) {
+        broken("another run of the task is there");
+      } else if (other.mTask == task && i != aWorker) {
+        broken("the same run is on two workers");
+      }
+    }
+  }
+  if (mAcknowledgedDone.contains(task)) {
+    broken("started after its end was acknowledged");
+  }
+  const work_job& job = mJobs.at(task.mJob);
+  const work_step& step = job.mSteps.at(static_cast<std::size_t>(task.mStep));
+  task_demand used;
+  int siblings = 0;
+  for (const auto& [other, run] : mWorkers[aWorker]->mRuns) {
+    const work_job& owner = mJobs.at(other.mTask.mJob);
+    used += owner.mSteps.at(static_cast<std::size_t>(other.mTask.mStep)).mDemand;
+    siblings += other.mTask.mJob == task.mJob && other.mTask.mStep == task.mStep ? 1 : 0;
+  }
+  if (!FitsInto(used, mWorkers[aWorker]->mInfo.mCapacity)) {
+    broken("more than its worker holds");
+  }
+  if (step.mPerWorkerLimit > 0 && siblings > step.mPerWorkerLimit) {
+    broken("too many of its step on one worker");
+  }
+  for (const int before : step.mAfter) {
+    const work_step& earlier = job.mSteps.at(static_cast<std::size_t>(before));
+    int done = 0;
+    for (int i = 0; i < earlier.mCount; ++i) {
+      done += mEndedDone.contains({ task.mJob, task.mOccurrence, before, i }) ? 1 : 0;
+    }
+    // One member's end stands for its whole gang.
+    if (done < (earlier.mGang ? 1 : earlier.mCount)) {
+      broken("started before a step that it waits for");
+    }
+  }
+}
+
+void fleet_simulation::NoteAcknowledged(const simulated_worker& aWorker, std::int64_t aThrough)
+{
+  for (const listed_end& each : aWorker.mEnds) {
+    if (each.mNumber <= aThrough && each.mHow == run_end::kDone &&
+        !aWorker.mLapsedEnds.contains(each.mNumber)) {
+      mAcknowledgedDone.insert(each.mRun.mTask);
+    }
+  }
+}
+
+void fleet_simulation::Look(leader& aLeader)
+{
+  work_core& core = *aLeader.mCore;
+  for (const std::string& id : core.Workers()) {
+    const std::size_t index = IndexOf(id);
+    instant& next = aLeader.mNextLook[id];
+    if (next > mNow || index >= mWorkers.size()) {
+      continue;
+    }
+    const auto plan = core.PlanLook(id, mNow);
+    if (!plan) {
+      continue;
+    }
+    next = mNow + kLookEvery;
+    if (mCut.contains(index) || Chance(mFaults.mLostLook)) {
+      core.OnSilence(id, mNow);
+      continue;
+    }
+    NoteAcknowledged(*mWorkers[index], plan->mAcknowledged);
+    const auto report = mWorkers[index]->Look(*plan, aLeader.mEpoch, mNow);
+    if (report) {
+      core.OnReport(id, *report, mNow, mNow);
+    }
+  }
+}
+
+work_state fleet_simulation::StoredState(const std::string& aJob) const
+{
+  const auto record = mRecords.find(aJob);
+  return record == mRecords.end() ? work_state::kQueued : ProgressState(record->second.mValue);
+}
+
+int fleet_simulation::Starts(const std::string& aJob) const
+{
+  const auto found = mStarts.find(aJob);
+  return found == mStarts.end() ? 0 : found->second;
+}
+
+int fleet_simulation::LiveRuns(const std::string& aJob) const
+{
+  int live = 0;
+  for (const auto& worker : mWorkers) {
+    live += static_cast<int>(std::ranges::count_if(
+      worker->mRuns, [&](const auto& aRun) { return aRun.first.mTask.mJob == aJob; }));
+  }
+  return live;
+}
+
+bool fleet_simulation::AllOver() const
+{
+  return std::ranges::all_of(mJobs | std::views::keys, [this](const std::string& aJob) {
+    return IsFinal(StoredState(aJob));
+  });
+}
+
+} // namespace briarwind::testing
--- /dev/null
+++ b/src/libwork/testing/fleet_simulation.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "briarwind/work_core.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+/// Workers, a store and a clock without network, on which cores are tried; with a checker of its
+/// own that knows nothing of how the core decides.
+
+namespace briarwind::testing {
+
+/// A worker as it obeys orders: fence, leases on its own clock, ends until they are acknowledged.
+class simulated_worker
+{
+public:
+  simulated_worker(registered_worker aInfo, instant aBorn);
+
+  start_outcome Start(const run_id& aRun, std::int64_t aEpoch, milliseconds aUntil,
+                      milliseconds aWork, instant aNow);
+  stop_outcome Stop(const run_id& aRun, std::int64_t aEpoch, instant aNow);
+  /// Nothing when a newer leader has asked before.
+  std::optional<worker_report> Look(const look_plan& aPlan, std::int64_t aEpoch, instant aNow);
+  void Advance(instant aNow);
+  /// Loses everything and starts a new life.
+  void Crash(instant aNow);
+
+  struct live_run
+  {
+    milliseconds mLeft{ 0 };
+    milliseconds mWhole{ 0 };
+    instant mStoppedAt;
+    bool mStopping = false;
+    bool mFails = false;
+  };
+
+  registered_worker mInfo;
+  std::map<run_id, live_run> mRuns;
+  std::vector<listed_end> mEnds;
+  /// Ends that were not acknowledged when the lease ran out: their tasks may be started again.
+  std::set<std::int64_t> mLapsedEnds;
+  bool mFailsAll = false;
+  bool mStandsStill = false;
+
+  milliseconds Clock(instant aNow) const;
+
+private:
+  void End(const run_id& aRun, run_end aHow);
+  /// How a run ends now; nothing while it goes on.
+  std::optional<run_end> AdvanceRun(live_run& aRun, milliseconds aPassed, instant aNow) const;
+
+  instant mBorn;
+  instant mAdvanced;
+  std::int64_t mFence = 0;
+  milliseconds mLeaseUntil{ 0 };
+  std::int64_t mLastEnd = 0;
+  std::map<task_id, run_number> mHighestEnded;
+};
+
+struct simulation_faults
+{
+  double mLostAnswer = 0; ///< of an order that was carried out
+  double mLateOrder = 0;  ///< no answer; carried out seconds later
+  double mLostLook = 0;
+  milliseconds mWriteTime{ 5 };
+};
+
+/// One leader after another over the same workers and records.
+class fleet_simulation
+{
+public:
+  fleet_simulation(int aWorkers, std::uint64_t aSeed, const work_options& aOptions = {});
+
+  void Submit(work_job aJob, milliseconds aWork = milliseconds{ 1'000 });
+  void Cancel(const std::string& aJob);
+  void Run(milliseconds aTime);
+  /// Another host leads from now on. The former leader does not know yet and goes on for a while.
+  void ChangeLeader();
+  void SetSettings(const work_settings& aSettings);
+
+  work_core& Core() { return *mLeader->mCore; }
+  instant Now() const { return mNow; }
+  simulated_worker& Worker(int aIndex) { return *mWorkers.at(static_cast<std::size_t>(aIndex)); }
+  int WorkerCount() const { return static_cast<int>(mWorkers.size()); }
+  /// Cut off from every leader, but running on.
+  void SetCut(int aWorker, bool aCut);
+  void SetListed(int aWorker, bool aListed);
+  work_state StoredState(const std::string& aJob) const;
+  int Starts(const std::string& aJob) const;
+  int LiveRuns(const std::string& aJob) const;
+  bool AllOver() const;
+
+  simulation_faults mFaults;
+  /// What the checker found wrong; empty when all promises held.
+  std::vector<std::string> mBroken;
+  /// Tasks of these jobs fail each time.
+  std::set<std::string> mPoisoned;
+
+private:
+  struct leader
+  {
+    std::unique_ptr<work_core> mCore;
+    std::int64_t mEpoch = 0;
+    instant mLostLead; ///< instant() while it leads
+    std::map<std::string, instant> mNextLook;
+  };
+  struct late_order
+  {
+    instant mAt;
+    std::size_t mWorker;
+    std::int64_t mIncarnation;
+    start_run mOrder;
+    std::int64_t mEpoch;
+    milliseconds mUntil;
+  };
+  struct stored_record
+  {
+    std::string mValue;
+    store_revision mRevision = 0;
+  };
+  struct pending_write
+  {
+    instant mAt;
+    leader* mWriter;
+    progress_write mWrite;
+  };
+
+  void Step();
+  void RunLeader(leader& aLeader);
+  void Send(leader& aLeader, const start_run& aOrder);
+  start_outcome Deliver(std::size_t aWorker, const start_run& aOrder, std::int64_t aEpoch,
+                        milliseconds aUntil);
+  void Look(leader& aLeader);
+  void CommitDue();
+  void CheckStart(const start_run& aOrder, std::size_t aWorker);
+  void NoteAcknowledged(const simulated_worker& aWorker, std::int64_t aThrough);
+  std::size_t IndexOf(const std::string& aWorker) const;
+  bool Chance(double aShare);
+  std::vector<registered_worker> Registry() const;
+
+  work_options mOptions;
+  std::mt19937_64 mRandom;
+  instant mNow;
+  std::vector<std::unique_ptr<simulated_worker>> mWorkers;
+  std::set<std::size_t> mCut;
+  std::set<std::size_t> mUnlisted;
+  std::vector<std::unique_ptr<leader>> mLeaders;
+  leader* mLeader = nullptr;
+  std::deque<late_order> mLate;
+  std::deque<pending_write> mPending;
+  std::map<std::string, stored_record> mRecords;
+  std::map<std::string, work_job> mJobs;
+  std::map<std::string, milliseconds> mWork;
+  std::set<std::string> mCancelled;
+  std::map<std::string, int> mStarts;
+  std::set<task_id> mEndedDone;
+  std::set<task_id> mAcknowledgedDone;
+  work_settings mSettings;
+  store_revision mRevision = 1;
+};
+
+} // namespace briarwind::testing
--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -300,8 +300,8 @@
   const bool ordered = std::ranges::any_of(
     worker.mRuns, [](const auto& aRun) { return aRun.second.mPhase != run_phase::kRecording; });
   const bool contact = !worker.mInTouch && (worker.mListed || ordered);
-  if (worker.mInfo.mAddress.empty() ||
-      !(contact || ordered || worker.mAckDue || !worker.mForeign.empty())) {
+  const bool wanted = contact || ordered || worker.mAckDue || !worker.mForeign.empty();
+  if (worker.mInfo.mAddress.empty() || !wanted) {
     return std::nullopt;
   }
   const instant last = std::max(worker.mLastLook, worker.mLastHeard);
--- a/src/libwork/work_eviction.cpp
+++ b/src/libwork/work_eviction.cpp
@@ -68,7 +68,7 @@
                      const std::vector<int>& aTasks)
 {
   eviction_plan plan;
-  const task_demand& demand = aUnit.Spec().mDemand;
+  const task_demand demand = RoomOf(aUnit.Spec());
   for (const int index : aTasks) {
     host_plan* best = nullptr;
     double bestLoss = std::numeric_limits<double>::infinity();
@@ -93,8 +93,72 @@
   return plan;
 }
 
+// The best plan over the places that the step prefers, or over all workers when none of these does.
+class eviction_search
+{
+public:
+  eviction_search(const std::vector<host_plan>& aHosts, const ready_unit& aUnit,
+                  const std::vector<int>& aTasks)
+    : mHosts(aHosts)
+    , mUnit(aUnit)
+    , mTasks(aTasks)
+  {
+  }
+
+  eviction_plan Run()
+  {
+    const work_step& spec = mUnit.Spec();
+    if (!spec.mDataRack.empty()) {
+      Consider(spec.mDataRack);
+    } else if (spec.mGang && spec.mRackLocal) {
+      std::set<std::string> racks;
+      for (const host_plan& host : mHosts) {
+        racks.insert(host.mWorker->mInfo.mRack);
+      }
+      std::ranges::for_each(racks, [this](const std::string& aRack) { Consider(aRack); });
+    }
+    if (mBest.mPlaces.empty()) {
+      Consider({});
+    }
+    return std::move(mBest);
+  }
+
+private:
+  void Consider(const std::string& aRack)
+  {
+    std::vector<host_plan> there;
+    std::ranges::copy_if(mHosts, std::back_inserter(there), [&](const host_plan& aHost) {
+      return aRack.empty() || aHost.mWorker->mInfo.mRack == aRack;
+    });
+    eviction_plan plan = PlanOn(std::move(there), mUnit, mTasks);
+    const bool useful = !mUnit.Spec().mGang || plan.mPlaces.size() == mTasks.size();
+    const bool more = plan.mPlaces.size() > mBest.mPlaces.size();
+    const bool cheaper = plan.mPlaces.size() == mBest.mPlaces.size() && plan.mLoss < mBest.mLoss;
+    if (useful && (more || cheaper)) {
+      mBest = std::move(plan);
+    }
+  }
+
+  const std::vector<host_plan>& mHosts;
+  const ready_unit& mUnit;
+  const std::vector<int>& mTasks;
+  eviction_plan mBest;
+};
+
 } // namespace
 
+bool work_core::state::MayStop(const ready_unit& aUnit, const run_id& aRun, const run_entry& aEntry)
+{
+  const job_entry* job = FindJob(aRun.mTask.mJob);
+  if (aEntry.mPhase == run_phase::kStopping || job == nullptr || job->IsOver()) {
+    return true;
+  }
+  const auto queue = mSettings.mQueues.find(job->mSpec.mQueue);
+  const int priority =
+    queue == mSettings.mQueues.end() ? job->mSpec.mPolicy.mPriority : queue->second.mPriority;
+  return aEntry.mPhase == run_phase::kRunning && priority > aUnit.mQueue->mPriority;
+}
+
 // Takes the room of work that may be stopped, and keeps it until the stopped runs are gone.
 bool work_core::state::PlaceByEviction(ready_unit& aUnit, instant aNow)
 {
@@ -103,16 +167,6 @@
   if (waiting.empty() || (spec.mGang && waiting.size() != aUnit.Entry().mTasks.size())) {
     return false;
   }
-  const auto mayStop = [&](const run_id& aRun, const run_entry& aEntry) {
-    const job_entry* job = FindJob(aRun.mTask.mJob);
-    if (aEntry.mPhase == run_phase::kStopping || job == nullptr || job->IsOver()) {
-      return true;
-    }
-    const auto queue = mSettings.mQueues.find(job->mSpec.mQueue);
-    const int priority =
-      queue == mSettings.mQueues.end() ? job->mSpec.mPolicy.mPriority : queue->second.mPriority;
-    return aEntry.mPhase == run_phase::kRunning && priority > aUnit.mQueue->mPriority;
-  };
   std::vector<host_plan> hosts;
   for (auto& [id, worker] : mWorkers) {
     if (!IsUsable(worker, aUnit, aNow)) {
@@ -120,16 +174,16 @@
     }
     host_plan host{ &worker, worker.Free(), {}, StepLimit(worker, aUnit) };
     for (const auto& [run, entry] : worker.mRuns) {
-      if (!mayStop(run, entry)) {
+      if (!MayStop(aUnit, run, entry)) {
         continue;
       }
       const job_entry* job = FindJob(run.mTask.mJob);
       const bool checkpoints =
         job != nullptr && job->mSpec.mSteps[static_cast<std::size_t>(run.mTask.mStep)].mCheckpoints;
-      const double loss = entry.mPhase == run_phase::kStopping
-                            ? 0
-                            : LossOf(entry, checkpoints, aNow, mOptions.mCheckpointEvery);
-      host.mVictims.push_back({ run, &entry, loss });
+      const bool stopping = entry.mPhase == run_phase::kStopping;
+      host.mVictims.push_back(
+        { run, &entry,
+          stopping ? 0 : LossOf(entry, checkpoints, aNow, mOptions.mCheckpointEvery) });
     }
     std::ranges::sort(host.mVictims, {}, [](const victim& aVictim) {
       return aVictim.mLoss / std::max(1, aVictim.mEntry->mDemand.mAccelerators);
@@ -137,37 +191,12 @@
     hosts.push_back(std::move(host));
   }
 
-  eviction_plan best;
-  const auto consider = [&](const std::string& aRack) {
-    std::vector<host_plan> there;
-    std::ranges::copy_if(hosts, std::back_inserter(there), [&](const host_plan& aHost) {
-      return aRack.empty() || aHost.mWorker->mInfo.mRack == aRack;
-    });
-    eviction_plan plan = PlanOn(std::move(there), aUnit, waiting);
-    const bool whole = plan.mPlaces.size() == waiting.size();
-    if ((whole || !spec.mGang) &&
-        (plan.mPlaces.size() > best.mPlaces.size() ||
-         (plan.mPlaces.size() == best.mPlaces.size() && plan.mLoss < best.mLoss))) {
-      best = std::move(plan);
-    }
-  };
-  if (!spec.mDataRack.empty()) {
-    consider(spec.mDataRack);
-  } else if (spec.mGang && spec.mRackLocal) {
-    std::set<std::string> racks;
-    for (const host_plan& host : hosts) {
-      racks.insert(host.mWorker->mInfo.mRack);
-    }
-    std::ranges::for_each(racks, consider);
-  }
-  if (best.mPlaces.empty()) {
-    consider({});
-  }
+  const eviction_plan best = eviction_search(hosts, aUnit, waiting).Run();
   for (const auto& [index, worker] : best.mPlaces) {
     task_entry& task = aUnit.Entry().mTasks[static_cast<std::size_t>(index)];
     task.mPhase = task_phase::kClaimed;
     task.mWorker = worker->mInfo.mId;
-    worker->mClaimed += spec.mDemand;
+    worker->mClaimed += RoomOf(spec);
     mReplan = true;
   }
   for (const auto& [worker, run] : best.mStops) {
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -151,8 +151,7 @@
   const work_step& step = aJob.mSpec.mSteps[static_cast<std::size_t>(aRun.mTask.mStep)];
   run_entry run;
   run.mPhase = run_phase::kRestored;
-  run.mDemand = step.mDemand;
-  run.mDemand.mMilliCores = step.mFills ? 0 : step.mDemand.mMilliCores;
+  run.mDemand = RoomOf(step);
   run.mGang = step.mGang;
   run.mPhaseSince = aNow;
   run.mProgressAt = aNow;
--- a/src/libwork/work_placement.cpp
+++ b/src/libwork/work_placement.cpp
@@ -16,7 +16,7 @@
 
 int FitsNow(const worker_entry& aWorker, const ready_unit& aUnit)
 {
-  return std::min(FitCount(aWorker.Free(), aUnit.Spec().mDemand), StepLimit(aWorker, aUnit));
+  return std::min(FitCount(aWorker.Free(), RoomOf(aUnit.Spec())), StepLimit(aWorker, aUnit));
 }
 
 // Best fit: the fullest workers that still hold a task come first, so that whole workers stay free
@@ -160,6 +160,10 @@
     }
     ++there;
   }
+  there +=
+    static_cast<int>(std::ranges::count_if(aUnit.Entry().mTasks, [&](const task_entry& aTask) {
+      return aTask.mPhase == task_phase::kClaimed && aTask.mWorker == aWorker.mInfo.mId;
+    }));
   return std::max(limit - there, 0);
 }
 
--- a/src/libwork/work_reports.cpp
+++ b/src/libwork/work_reports.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::string_view kNoProgress = "no progress";
+
 const listed_run* FindListed(const worker_report& aReport, const run_id& aRun)
 {
   const auto found = std::ranges::find(aReport.mRunning, aRun, &listed_run::mRun);
@@ -57,73 +59,98 @@
   }
 }
 
-void work_core::state::TakeReport(worker_entry& aWorker, const worker_report& aReport,
-                                  instant aSent, instant aNow)
+// Takes over what a worker says of a run that it lists; the reason why the run has to be stopped,
+// or nothing.
+std::string_view work_core::state::TakeListed(worker_entry& aWorker, const run_id& aId,
+                                              run_entry& aRun, const listed_run& aListed,
+                                              instant aNow)
 {
-  std::vector<std::pair<run_id, std::string_view>> toStop;
-  std::vector<run_id> gone;
-  for (auto& [id, run] : aWorker.mRuns) {
-    const listed_run* listed = FindListed(aReport, id);
-    if (listed == nullptr) {
-      const bool ended = std::ranges::count(aReport.mEnds, id, &listed_end::mRun) > 0;
-      if (!ended && !aReport.mMoreEnds && IsSurelyGone(run, aSent)) {
-        gone.push_back(id);
-      }
+  task_entry* task = FindTask(aId.mTask);
+  const bool current =
+    task != nullptr && task->mPhase == task_phase::kLive && task->mRun == aId.mRun;
+  if (current && !aListed.mCheckpoint.empty()) {
+    task->mCheckpoint = aListed.mCheckpoint;
+  }
+  std::string_view reason;
+  if (aRun.mPhase == run_phase::kStarting || aRun.mPhase == run_phase::kRestored) {
+    aRun.mPhase = run_phase::kRunning;
+    aRun.mPhaseSince = aNow;
+    aRun.mStartAnswered = aNow;
+    aRun.mProgressAt = aNow;
+    aRun.mIncarnation = aWorker.mInfo.mIncarnation;
+    reason = current ? std::string_view() : "no longer wanted";
+  }
+  if (aRun.mPercent != aListed.mPercent) {
+    aRun.mPercent = aListed.mPercent;
+    aRun.mProgressAt = aNow;
+    return reason;
+  }
+  constexpr int kWhole = 100;
+  const bool stalled = aRun.mPhase == run_phase::kRunning && aRun.mPercent < kWhole &&
+                       aNow - aRun.mProgressAt > mOptions.mStallTime;
+  return stalled ? kNoProgress : reason;
+}
+
+// An end counts as known once the record that holds it is stored; only then is it acknowledged.
+void work_core::state::TakeEnds(worker_entry& aWorker, const worker_report& aReport, instant aNow)
+{
+  for (const listed_end& each : aReport.mEnds) {
+    if (each.mNumber <= aWorker.mSeenEnds) {
       continue;
     }
-    if (run.mPhase == run_phase::kStarting || run.mPhase == run_phase::kRestored) {
-      run.mPhase = run_phase::kRunning;
-      run.mPhaseSince = aNow;
-      run.mStartAnswered = aNow;
-      run.mProgressAt = aNow;
-      run.mIncarnation = aWorker.mInfo.mIncarnation;
-      const task_entry* task = FindTask(id.mTask);
-      if (task == nullptr || task->mPhase != task_phase::kLive || task->mRun != id.mRun) {
-        toStop.emplace_back(id, "no longer wanted");
-      }
+    aWorker.mSeenEnds = each.mNumber;
+    if (!aWorker.mRuns.contains(each.mRun)) {
+      continue;
     }
-    if (run.mPercent != listed->mPercent) {
-      run.mPercent = listed->mPercent;
-      run.mProgressAt = aNow;
-    } else if (run.mPhase == run_phase::kRunning && run.mPercent < 100 &&
-               aNow - run.mProgressAt > mOptions.mStallTime) {
-      toStop.emplace_back(id, "no progress");
+    RunEnded(aWorker, each.mRun, each.mHow, each.mCheckpoint, aNow);
+    const job_entry* job = FindJob(each.mRun.mTask.mJob);
+    if (job != nullptr && job->mChangeStored < job->mChange) {
+      aWorker.mPendingEnds[each.mNumber] = { job->mSpec.mId, job->mChange };
     }
-    task_entry* task = FindTask(id.mTask);
-    if (task != nullptr && task->mRun == id.mRun && !listed->mCheckpoint.empty()) {
-      task->mCheckpoint = listed->mCheckpoint;
+  }
+}
+
+void work_core::state::StopForeign(worker_entry& aWorker, const worker_report& aReport)
+{
+  aWorker.mForeign.clear();
+  for (const listed_run& each : aReport.mRunning) {
+    if (!aWorker.mRuns.contains(each.mRun)) {
+      aWorker.mForeign.insert(each.mRun);
+      mActions.emplace_back(stop_run{ each.mRun, aWorker.mInfo.mId });
     }
   }
-  for (const listed_end& each : aReport.mEnds) {
-    if (each.mNumber <= aWorker.mSeenEnds) {
+}
+
+void work_core::state::TakeReport(worker_entry& aWorker, const worker_report& aReport,
+                                  instant aSent, instant aNow)
+{
+  std::vector<std::pair<run_id, std::string_view>> toStop;
+  std::vector<run_id> gone;
+  for (auto& [id, run] : aWorker.mRuns) {
+    if (const listed_run* listed = FindListed(aReport, id)) {
+      const std::string_view reason = TakeListed(aWorker, id, run, *listed, aNow);
+      if (!reason.empty()) {
+        toStop.emplace_back(id, reason);
+      }
       continue;
     }
-    aWorker.mSeenEnds = each.mNumber;
-    if (aWorker.mRuns.contains(each.mRun)) {
-      RunEnded(aWorker, each.mRun, each.mHow, each.mCheckpoint, aNow);
-      if (const job_entry* job = FindJob(each.mRun.mTask.mJob);
-          job != nullptr && job->mChangeStored < job->mChange) {
-        aWorker.mPendingEnds[each.mNumber] = { job->mSpec.mId, job->mChange };
-      }
+    const bool ended = std::ranges::count(aReport.mEnds, id, &listed_end::mRun) > 0;
+    if (!ended && !aReport.mMoreEnds && IsSurelyGone(run, aSent)) {
+      gone.push_back(id);
     }
   }
+  TakeEnds(aWorker, aReport, aNow);
   for (const run_id& each : gone) {
     RunGone(aWorker, each, "not listed by its worker", aNow);
   }
   for (const auto& [run, reason] : toStop) {
-    if (reason == "no progress") {
+    if (reason == kNoProgress) {
       Distrust(aWorker, aNow, reason);
     }
     StopOthersOfGang(run, aNow);
     StopRun(aWorker, run, reason, aNow);
   }
-  aWorker.mForeign.clear();
-  for (const listed_run& each : aReport.mRunning) {
-    if (!aWorker.mRuns.contains(each.mRun)) {
-      aWorker.mForeign.insert(each.mRun);
-      mActions.emplace_back(stop_run{ each.mRun, aWorker.mInfo.mId });
-    }
-  }
+  StopForeign(aWorker, aReport);
   AdvanceAcknowledged(aWorker);
 }
 
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -175,9 +175,8 @@
   if (run.mPhase == run_phase::kRecording) {
     // No order has left, so there is nothing to stop; the record that is under way is written
     // over by the change that follows.
-    const run_id gone = aRun;
-    DropRun(aWorker, gone);
-    TaskBack(gone, {}, aNow);
+    DropRun(aWorker, aRun);
+    TaskBack(aRun, {}, aNow);
     return;
   }
   run.mPhase = run_phase::kStopping;
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -216,8 +216,7 @@
     task.mRun = spec.mGang ? common : task.mRun + 1;
     task.mWorker = worker->mInfo.mId;
     run_entry run;
-    run.mDemand = spec.mDemand;
-    run.mDemand.mMilliCores = spec.mFills ? 0 : spec.mDemand.mMilliCores;
+    run.mDemand = RoomOf(spec);
     run.mGang = spec.mGang;
     run.mRecordedIn = aUnit.mJob->mChange;
     run.mPhaseSince = aNow;
@@ -249,8 +248,8 @@
       continue;
     }
     task_demand& used = taken.try_emplace(&worker->second, worker->second.mUsed).first->second;
-    if (FitsInto(used + spec.mDemand, worker->second.mInfo.mCapacity)) {
-      used += spec.mDemand;
+    if (FitsInto(used + RoomOf(spec), worker->second.mInfo.mCapacity)) {
+      used += RoomOf(spec);
       ready.emplace_back(static_cast<int>(i), &worker->second);
     }
   }
@@ -265,7 +264,7 @@
     return;
   }
   for (const auto& [index, worker] : ready) {
-    worker->mClaimed -= spec.mDemand;
+    worker->mClaimed -= RoomOf(spec);
   }
   Launch(aUnit, ready, aNow);
 }
@@ -279,7 +278,7 @@
           continue;
         }
         if (const auto worker = mWorkers.find(task.mWorker); worker != mWorkers.end()) {
-          worker->second.mClaimed -= aJob.mSpec.mSteps[i].mDemand;
+          worker->second.mClaimed -= RoomOf(aJob.mSpec.mSteps[i]);
         }
         task.mPhase = task_phase::kWaiting;
         task.mWorker.clear();
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -15,6 +15,14 @@
 
 namespace briarwind {
 
+/// What a task of the step takes of its worker's capacity: one that fills takes no cores of it.
+constexpr task_demand RoomOf(const work_step& aStep)
+{
+  task_demand room = aStep.mDemand;
+  room.mMilliCores = aStep.mFills ? 0 : room.mMilliCores;
+  return room;
+}
+
 enum class task_phase : std::uint8_t
 {
   kWaiting,
@@ -191,6 +199,10 @@
 
   // work_reports.cpp
   void TakeReport(worker_entry& aWorker, const worker_report& aReport, instant aSent, instant aNow);
+  std::string_view TakeListed(worker_entry& aWorker, const run_id& aId, run_entry& aRun,
+                              const listed_run& aListed, instant aNow);
+  void TakeEnds(worker_entry& aWorker, const worker_report& aReport, instant aNow);
+  void StopForeign(worker_entry& aWorker, const worker_report& aReport);
   void NewLife(worker_entry& aWorker, std::int64_t aIncarnation, instant aNow);
 
   // work_schedule.cpp
@@ -203,6 +215,7 @@
               instant aNow);
   void CheckClaims(ready_unit& aUnit, instant aNow);
   void ReleaseClaims(job_entry& aJob);
+  bool MayStop(const ready_unit& aUnit, const run_id& aRun, const run_entry& aEntry);
   bool PlaceByEviction(ready_unit& aUnit, instant aNow);
 };
 
