--- /dev/null
+++ b/src/libcontrol/testing/fake_record_store.cpp
@@ -0,0 +1,218 @@
+#include "fake_record_store.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarwind::testing {
+
+namespace {
+
+constexpr milliseconds kPoll{ 2 };
+
+auto Down()
+{
+  return IoError(error_kind::kUnavailable, "fake store", "down");
+}
+
+} // namespace
+
+bool fake_record_store::Reach()
+{
+  ++mCalls;
+  if (mBeforeCall) {
+    mBeforeCall();
+  }
+  SleepFor(mDown ? mFailAfter : milliseconds{ 1 });
+  return !mDown;
+}
+
+void fake_record_store::Log(const stored_value& aValue, bool aDeleted)
+{
+  mLog.emplace_back(mRevision, store_change{ aDeleted, aValue });
+}
+
+void fake_record_store::Put(const std::string& aKey, const std::string& aValue)
+{
+  store_transaction write;
+  write.mWrites.push_back({ aKey, aValue, 0 });
+  Apply(write);
+}
+
+void fake_record_store::Remove(const std::string& aKey)
+{
+  store_transaction removal;
+  removal.mDeletes.push_back(aKey);
+  Apply(removal);
+}
+
+const stored_value* fake_record_store::Find(const std::string& aKey) const
+{
+  const auto found = mValues.find(aKey);
+  return found == mValues.end() ? nullptr : &found->second;
+}
+
+void fake_record_store::TakeLate()
+{
+  while (!mLate.empty()) {
+    Apply(mLate.front());
+    mLate.pop_front();
+  }
+}
+
+void fake_record_store::Lapse(store_lease aLease)
+{
+  mLeases.erase(aLease);
+  store_transaction removal;
+  for (const auto& [key, value] : mValues) {
+    if (value.mLease == aLease) {
+      removal.mDeletes.push_back(key);
+    }
+  }
+  Apply(removal);
+}
+
+io_result<std::optional<stored_value>> fake_record_store::Get(std::string_view aKey, instant)
+{
+  if (!Reach()) {
+    return Down();
+  }
+  const stored_value* found = Find(std::string(aKey));
+  return found == nullptr ? std::optional<stored_value>() : std::optional(*found);
+}
+
+io_result<store_listing> fake_record_store::List(std::string_view aPrefix, instant)
+{
+  if (!Reach()) {
+    return Down();
+  }
+  store_listing listing;
+  listing.mRevision = mRevision;
+  for (const auto& [key, value] : mValues) {
+    if (key.starts_with(aPrefix)) {
+      listing.mValues.push_back(value);
+    }
+  }
+  return listing;
+}
+
+io_result<watch_answer> fake_record_store::Watch(std::string_view aPrefix, store_revision aAfter,
+                                                 milliseconds aWait)
+{
+  if (!Reach()) {
+    return Down();
+  }
+  const instant end = monotonic_clock::now() + aWait;
+  watch_answer answer;
+  while (answer.mChanges.empty() && monotonic_clock::now() < end) {
+    if (mDown) {
+      return Down();
+    }
+    if (aAfter < mCompacted) {
+      answer.mCompacted = true;
+      return answer;
+    }
+    for (const auto& [revision, change] : mLog) {
+      if (revision > aAfter && change.mValue.mKey.starts_with(aPrefix)) {
+        answer.mChanges.push_back(change);
+      }
+    }
+    SleepFor(kPoll);
+  }
+  answer.mRevision = mRevision;
+  return answer;
+}
+
+transaction_result fake_record_store::Apply(const store_transaction& aTransaction)
+{
+  transaction_result result;
+  const bool holds = std::ranges::all_of(aTransaction.mConditions, [&](const auto& aCondition) {
+    const stored_value* found = Find(aCondition.mKey);
+    return (found == nullptr ? 0 : found->mModified) == aCondition.mRevision;
+  });
+  if (!holds) {
+    for (const store_condition& each : aTransaction.mConditions) {
+      if (const stored_value* found = Find(each.mKey)) {
+        result.mCurrent.push_back(*found);
+      }
+    }
+    return result;
+  }
+  ++mRevision;
+  for (const store_write& each : aTransaction.mWrites) {
+    stored_value& value = mValues[each.mKey];
+    value.mKey = each.mKey;
+    value.mValue = each.mValue;
+    value.mCreated = value.mCreated == 0 ? mRevision : value.mCreated;
+    value.mModified = mRevision;
+    value.mLease = each.mLease;
+    Log(value, false);
+  }
+  for (const std::string& each : aTransaction.mDeletes) {
+    if (mValues.erase(each) > 0) {
+      stored_value gone;
+      gone.mKey = each;
+      gone.mModified = mRevision;
+      Log(gone, true);
+    }
+  }
+  result.mCommitted = true;
+  result.mRevision = mRevision;
+  return result;
+}
+
+io_result<transaction_result> fake_record_store::Commit(const store_transaction& aTransaction,
+                                                        instant)
+{
+  if (!Reach()) {
+    return Down();
+  }
+  const bool leased = std::ranges::all_of(aTransaction.mWrites, [&](const store_write& aWrite) {
+    return aWrite.mLease == 0 || mLeases.contains(aWrite.mLease);
+  });
+  if (!leased) {
+    return IoError(error_kind::kNotFound, "fake store", "no such lease");
+  }
+  if (mDelayed > 0) {
+    --mDelayed;
+    mLate.push_back(aTransaction);
+    return IoError(error_kind::kUnknownOutcome, "fake store", "no answer");
+  }
+  transaction_result result = Apply(aTransaction);
+  if (mLostAnswers > 0) {
+    --mLostAnswers;
+    return IoError(error_kind::kUnknownOutcome, "fake store", "no answer");
+  }
+  return result;
+}
+
+io_result<granted_lease> fake_record_store::Grant(milliseconds aTimeToLive, instant)
+{
+  if (!Reach()) {
+    return Down();
+  }
+  mLeases[++mLastLease] = aTimeToLive;
+  return granted_lease{ mLastLease, aTimeToLive };
+}
+
+io_result<milliseconds> fake_record_store::Renew(store_lease aLease, instant)
+{
+  if (!Reach()) {
+    return Down();
+  }
+  const auto found = mLeases.find(aLease);
+  if (found == mLeases.end()) {
+    return IoError(error_kind::kNotFound, "fake store", "the lease has ended");
+  }
+  return found->second;
+}
+
+io_result<void> fake_record_store::End(store_lease aLease, instant)
+{
+  if (!Reach()) {
+    return Down();
+  }
+  Lapse(aLease);
+  return boost::outcome_v2::success();
+}
+
+} // namespace briarwind::testing
