Ends of a worker that left the registry, and of a worker's next life, are kept

(2) Found by the property once writes could be slow: the incarnation in a record can be older than the life that got the order, so 'started anew' was taken for 'holds nothing' while the new life held the run or its end. Ruled out: late writes of a former leader (their condition names its key). Change: an entry with ends that wait is kept, and an end of an unknown run waits for its job's record too; a new life's own list decides on all runs, records carry no incarnation any more. Conclusion: both can only be seen with slow writes; the property has them now.

--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -242,8 +242,7 @@
     }
     if (job.NeedsWrite()) {
       job.mChangeWriting = job.mChange;
-      writes.push_back(
-        { id, job.mRevision, FormatProgress(job, mState->mEpoch, mState->mWorkers) });
+      writes.push_back({ id, job.mRevision, FormatProgress(job, mState->mEpoch) });
     }
   }
   return writes;
--- a/src/libwork/work_core_property_test.cpp
+++ b/src/libwork/work_core_property_test.cpp
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 #include <rapidcheck.h>
 
+#include <array>
+
 using namespace briarwind;
 using namespace briarwind::testing;
 
@@ -43,7 +45,7 @@
   const auto worker = [&] {
     return static_cast<int>(aRandom() % static_cast<std::uint64_t>(aFleet.WorkerCount()));
   };
-  switch (aRandom() % 9) {
+  switch (aRandom() % 10) {
     case 0:
       aFleet.ChangeLeader();
       return;
@@ -68,6 +70,9 @@
       aFleet.mFaults.mLateOrder = 0.1;
       aFleet.mFaults.mLostLook = 0.2;
       return;
+    case 8:
+      aFleet.mFaults.mWriteTime = milliseconds(1'500);
+      return;
     default:
       aFleet.mFaults = {};
       return;
@@ -83,32 +88,48 @@
   }
 }
 
+// A day of jobs and troubles; what the checker found first, or what is left undone.
+std::string PlayDay(std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  fleet_simulation fleet(6, aSeed);
+  for (int i = 0; i < 14 && fleet.mBroken.empty(); ++i) {
+    fleet.Submit(AnyJob(i, random), milliseconds(200 + random() % 2'500));
+    if (random() % 6 == 0) {
+      fleet.Cancel(fmt::format("job{:03}", i));
+    }
+    Disturb(fleet, random);
+    fleet.Run(milliseconds(random() % 1'500));
+  }
+  Heal(fleet);
+  fleet.Run(milliseconds(60'000));
+  if (!fleet.mBroken.empty()) {
+    return fleet.mBroken.front();
+  }
+  return fleet.AllOver() ? std::string() : "a job is not over";
+}
+
 } // namespace
 
 BW_STORY("whatever fails")
 {
-  BW_SECTION("no task runs twice, no worker is overfilled, no step starts early")
+  BW_SECTION("no task runs twice, no worker is overfilled, no step starts early, all jobs end")
   {
     BW_CHECK(rc::check([](std::uint64_t aSeed) {
-      std::mt19937_64 random(aSeed);
-      fleet_simulation fleet(6, aSeed);
-      for (int i = 0; i < 14; ++i) {
-        fleet.Submit(AnyJob(i, random), milliseconds(200 + random() % 2'500));
-        if (random() % 6 == 0) {
-          fleet.Cancel(fmt::format("job{:03}", i));
-        }
-        Disturb(fleet, random);
-        fleet.Run(milliseconds(random() % 1'500));
-        if (!fleet.mBroken.empty()) {
-          RC_FAIL(fleet.mBroken.front());
-        }
-      }
-      Heal(fleet);
-      fleet.Run(milliseconds(60'000));
-      if (!fleet.mBroken.empty()) {
-        RC_FAIL(fleet.mBroken.front());
+      const std::string broken = PlayDay(aSeed);
+      if (!broken.empty()) {
+        RC_FAIL(broken);
       }
-      RC_ASSERT(fleet.AllOver());
     }));
   }
+  BW_SECTION("nor on days that failed once")
+  {
+    // 350784940: a start had reached a worker's next life, which the next leader took for empty.
+    // The others failed on the way to the same mend.
+    constexpr std::array<std::uint64_t, 5> kFailedOnce{ 350'784'940, 94'971, 13'878'608'620'953,
+                                                        123, 38'897 };
+    for (const std::uint64_t seed : kFailedOnce) {
+      BW_EQUAL(std::string(), PlayDay(seed));
+    }
+  }
 }
--- a/src/libwork/work_core_test.cpp
+++ b/src/libwork/work_core_test.cpp
@@ -226,6 +226,25 @@
     fleet.Run(milliseconds(5'000));
     BW_EQUAL(1, fleet.Starts("b"));
   }
+  BW_SECTION("knows no end that was acknowledged but not stored")
+  {
+    // Found by a hunt: the store was away, and the worker left the registry for a moment meanwhile.
+    fleet.mFaults.mWriteTime = milliseconds(5'000);
+    fleet.Run(milliseconds(3'000));
+    BW_EQUAL(0, fleet.LiveRuns("a"));
+    for (int i = 0; i < fleet.WorkerCount(); ++i) {
+      fleet.SetListed(i, false);
+    }
+    fleet.Run(milliseconds(200));
+    for (int i = 0; i < fleet.WorkerCount(); ++i) {
+      fleet.SetListed(i, true);
+    }
+    fleet.Run(milliseconds(500));
+    fleet.mFaults = {};
+    fleet.ChangeLeader();
+    fleet.Run(milliseconds(5'000));
+    BW_EQUAL(4, fleet.Starts("a"));
+  }
   BW_SECTION("starts again what was recorded but never ordered")
   {
     fleet.mFaults.mLateOrder = 1;
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -131,7 +131,7 @@
     if (!each.mWorker.empty()) {
       task->mPhase = task_phase::kLive;
       task->mWorker = each.mWorker;
-      RestoreRun(aJob, { each.mTask, each.mRun }, each.mWorker, each.mIncarnation, aNow);
+      RestoreRun(aJob, { each.mTask, each.mRun }, each.mWorker, aNow);
     }
   }
 }
@@ -139,12 +139,11 @@
 // The order may not have left, may still be under way, or may have been carried out. Until the
 // worker tells, the run takes room there and its task is not started elsewhere.
 void work_core::state::RestoreRun(job_entry& aJob, const run_id& aRun, const std::string& aWorker,
-                                  std::int64_t aIncarnation, instant aNow)
+                                  instant aNow)
 {
   worker_entry& worker = mWorkers[aWorker];
   if (worker.mInfo.mId.empty()) {
     worker.mInfo.mId = aWorker;
-    worker.mInfo.mIncarnation = aIncarnation;
     worker.mLeaseSurelyOver = mReignSince + std::chrono::duration_cast<milliseconds>(
                                               mOptions.mMaxHold * mOptions.mClockSlack);
   }
@@ -156,7 +155,6 @@
   run.mPhaseSince = aNow;
   run.mProgressAt = aNow;
   run.mStartedAt = aNow;
-  run.mIncarnation = aIncarnation;
   worker.mUsed += run.mDemand;
   worker.mRuns.emplace(aRun, run);
   worker.mInTouch = false;
--- a/src/libwork/work_record.cpp
+++ b/src/libwork/work_record.cpp
@@ -25,13 +25,16 @@
 }
 
 // Rows are positional: a record of a wide job is written with each change of any of its tasks.
-json::array TaskRow(const task_id& aTask, const task_entry& aEntry, std::int64_t aIncarnation)
+json::array TaskRow(const task_id& aTask, const task_entry& aEntry)
 {
   const bool live = aEntry.mPhase == task_phase::kLive;
-  return { aTask.mOccurrence, aTask.mStep,
-           aTask.mIndex,      aEntry.mRun,
-           aEntry.mFailures,  json::string(live ? aEntry.mWorker : std::string()),
-           aIncarnation,      json::string(aEntry.mCheckpoint) };
+  return { aTask.mOccurrence,
+           aTask.mStep,
+           aTask.mIndex,
+           aEntry.mRun,
+           aEntry.mFailures,
+           json::string(live ? aEntry.mWorker : std::string()),
+           json::string(aEntry.mCheckpoint) };
 }
 
 bool IsUntouched(const task_entry& aTask)
@@ -53,17 +56,6 @@
   return row;
 }
 
-std::int64_t IncarnationOf(const task_id& aTask, const task_entry& aEntry,
-                           const std::map<std::string, worker_entry>& aWorkers)
-{
-  const auto worker = aWorkers.find(aEntry.mWorker);
-  if (aEntry.mPhase != task_phase::kLive || worker == aWorkers.end()) {
-    return 0;
-  }
-  const auto run = worker->second.mRuns.find({ aTask, aEntry.mRun });
-  return run == worker->second.mRuns.end() ? 0 : run->second.mIncarnation;
-}
-
 std::int64_t IntAt(const json::array& aRow, std::size_t aIndex)
 {
   const json::value* value = aRow.if_contains(aIndex);
@@ -83,8 +75,7 @@
            IntAt(aRow, 3),
            static_cast<int>(IntAt(aRow, 4)),
            TextAt(aRow, 5),
-           IntAt(aRow, 6),
-           TextAt(aRow, 7) };
+           TextAt(aRow, 6) };
 }
 
 progress_done ReadDone(const json::array& aRow)
@@ -98,8 +89,7 @@
 
 } // namespace
 
-std::string FormatProgress(const job_entry& aJob, std::int64_t aEpoch,
-                           const std::map<std::string, worker_entry>& aWorkers)
+std::string FormatProgress(const job_entry& aJob, std::int64_t aEpoch)
 {
   json::array done;
   json::array tasks;
@@ -117,7 +107,7 @@
             continue;
           }
           const task_id id{ aJob.mSpec.mId, occurrence.mNumber, number, static_cast<int>(i) };
-          tasks.emplace_back(TaskRow(id, task, IncarnationOf(id, task, aWorkers)));
+          tasks.emplace_back(TaskRow(id, task));
         }
       }
     }
--- a/src/libwork/work_record.h
+++ b/src/libwork/work_record.h
@@ -6,8 +6,7 @@
 
 /// Text of a job's progress record: state, tasks that are done, live runs with their workers, and
 /// what is known of tasks that wait.
-std::string FormatProgress(const job_entry& aJob, std::int64_t aEpoch,
-                           const std::map<std::string, worker_entry>& aWorkers);
+std::string FormatProgress(const job_entry& aJob, std::int64_t aEpoch);
 
 /// One row of a task that is neither untouched nor done.
 struct progress_task
@@ -16,7 +15,6 @@
   run_number mRun = 0;
   int mFailures = 0;
   std::string mWorker; ///< empty: no live run
-  std::int64_t mIncarnation = 0;
   std::string mCheckpoint;
 };
 
--- a/src/libwork/work_reports.cpp
+++ b/src/libwork/work_reports.cpp
@@ -35,8 +35,8 @@
 
 } // namespace
 
-// A worker that has started anew holds nothing of its former life. An order that was under way then
-// may have reached the new life, so its run is stopped before its task is started elsewhere.
+// A worker that has started anew holds nothing of its former life. Which life an order reached is
+// not known, though: the registry tells of a new one late. So the worker's own list decides.
 void work_core::state::NewLife(worker_entry& aWorker, std::int64_t aIncarnation, instant aNow)
 {
   aWorker.mInfo.mIncarnation = aIncarnation;
@@ -46,24 +46,18 @@
   aWorker.mAckDue = false;
   aWorker.mInTouch = false;
   aWorker.mForeign.clear();
-  std::vector<run_id> gone;
   for (auto& [id, run] : aWorker.mRuns) {
-    const bool unanswered = run.mPhase == run_phase::kStarting ||
-                            (run.mPhase == run_phase::kStopping && !run.mStopAnswered);
-    if (run.mIncarnation != aIncarnation && run.mPhase != run_phase::kRecording && !unanswered) {
-      gone.push_back(id);
+    if (run.mPhase == run_phase::kRunning) {
+      run.mPhase = run_phase::kRestored;
+      run.mPhaseSince = aNow;
     }
   }
-  for (const run_id& each : gone) {
-    RunGone(aWorker, each, "worker started anew", aNow);
-  }
 }
 
 // Takes over what a worker says of a run that it lists; the reason why the run has to be stopped,
 // or nothing.
-std::string_view work_core::state::TakeListed(worker_entry& aWorker, const run_id& aId,
-                                              run_entry& aRun, const listed_run& aListed,
-                                              instant aNow)
+std::string_view work_core::state::TakeListed(const run_id& aId, run_entry& aRun,
+                                              const listed_run& aListed, instant aNow)
 {
   task_entry* task = FindTask(aId.mTask);
   const bool current =
@@ -77,7 +71,6 @@
     aRun.mPhaseSince = aNow;
     aRun.mStartAnswered = aNow;
     aRun.mProgressAt = aNow;
-    aRun.mIncarnation = aWorker.mInfo.mIncarnation;
     reason = current ? std::string_view() : "no longer wanted";
   }
   if (aRun.mPercent != aListed.mPercent) {
@@ -99,10 +92,11 @@
       continue;
     }
     aWorker.mSeenEnds = each.mNumber;
-    if (!aWorker.mRuns.contains(each.mRun)) {
-      continue;
+    if (aWorker.mRuns.contains(each.mRun)) {
+      RunEnded(aWorker, each.mRun, each.mHow, each.mCheckpoint, aNow);
     }
-    RunEnded(aWorker, each.mRun, each.mHow, each.mCheckpoint, aNow);
+    // Also for a run that is not known here: the end may have been taken note of already, while its
+    // record waits for the store.
     const job_entry* job = FindJob(each.mRun.mTask.mJob);
     if (job != nullptr && job->mChangeStored < job->mChange) {
       aWorker.mPendingEnds[each.mNumber] = { job->mSpec.mId, job->mChange };
@@ -128,7 +122,7 @@
   std::vector<run_id> gone;
   for (auto& [id, run] : aWorker.mRuns) {
     if (const listed_run* listed = FindListed(aReport, id)) {
-      const std::string_view reason = TakeListed(aWorker, id, run, *listed, aNow);
+      const std::string_view reason = TakeListed(id, run, *listed, aNow);
       if (!reason.empty()) {
         toStop.emplace_back(id, reason);
       }
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -256,7 +256,6 @@
         run->second.mPhase = run_phase::kStarting;
         run->second.mPhaseSince = aNow;
         run->second.mStartedAt = aNow;
-        run->second.mIncarnation = worker->second.mInfo.mIncarnation;
         mActions.emplace_back(start_run{ id, task.mWorker, aJob.mSpec.mPayload,
                                          spec.mCheckpoints ? task.mCheckpoint : std::string() });
         Note(work_note_kind::kStarted, aJob.mSpec.mId, ToString(id.mTask), task.mWorker,
@@ -325,8 +324,9 @@
     SendStops(worker, aNow);
   }
   std::erase_if(mWorkers, [](const auto& aWorker) {
-    return !aWorker.second.mListed && aWorker.second.mRuns.empty() &&
-           aWorker.second.mClaimed == task_demand{};
+    const worker_entry& worker = aWorker.second;
+    return !worker.mListed && worker.mRuns.empty() && worker.mPendingEnds.empty() &&
+           worker.mClaimed == task_demand{};
   });
 }
 
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -221,7 +221,6 @@
     run.mRecordedIn = aUnit.mJob->mChange;
     run.mPhaseSince = aNow;
     run.mStartedAt = aNow;
-    run.mIncarnation = worker->mInfo.mIncarnation;
     worker->mUsed += run.mDemand;
     worker->mRuns.emplace(run_id{ aUnit.Task(index), task.mRun }, run);
   }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -105,7 +105,6 @@
   int mPercent = -1;
   instant mProgressAt;
   instant mStartedAt;
-  std::int64_t mIncarnation = 0; ///< of the worker when it was ordered
 };
 
 struct worker_entry
@@ -167,8 +166,7 @@
 
   // work_jobs.cpp
   void Restore(job_entry& aJob, const stored_job& aStored, instant aNow);
-  void RestoreRun(job_entry& aJob, const run_id& aRun, const std::string& aWorker,
-                  std::int64_t aIncarnation, instant aNow);
+  void RestoreRun(job_entry& aJob, const run_id& aRun, const std::string& aWorker, instant aNow);
   void OpenOccurrences(job_entry& aJob, wall_time aWallNow);
   void Changed(job_entry& aJob);
   void Finish(job_entry& aJob, work_state aState, const std::string& aReason, instant aNow);
@@ -199,8 +197,8 @@
 
   // work_reports.cpp
   void TakeReport(worker_entry& aWorker, const worker_report& aReport, instant aSent, instant aNow);
-  std::string_view TakeListed(worker_entry& aWorker, const run_id& aId, run_entry& aRun,
-                              const listed_run& aListed, instant aNow);
+  std::string_view TakeListed(const run_id& aId, run_entry& aRun, const listed_run& aListed,
+                              instant aNow);
   void TakeEnds(worker_entry& aWorker, const worker_report& aReport, instant aNow);
   void StopForeign(worker_entry& aWorker, const worker_report& aReport);
   void NewLife(worker_entry& aWorker, std::int64_t aIncarnation, instant aNow);
