--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -27,17 +27,21 @@
   double mRemoteFactor = 3; ///< slowdown away from data or over racks; from the deployment
   /// A worker's clock may be 2% slow; the rest covers rounding.
   double mClockSlack = 1.03;
-  /// A report without progress of a run for this long counts as a stall: a task of the longest
-  /// kind shows a new percent four times within it.
-  milliseconds mStallTime{ 2'500 };
+  /// A run without a new percent for this share of its declared time counts as stalled: at the
+  /// slowest (away from its data, on a slow worker) a percent takes a fifth of it. Within bounds,
+  /// since declared times are far off the truth.
+  double mStallShare = 0.3;
+  milliseconds mStallLeast{ 900 };
+  milliseconds mStallMost{ 3'000 };
   /// How long a worker that failed or refused a run gets no further ones; doubles with each in a
   /// row up to the cap. The first is shorter than any task, the cap a tenth of a lease's life more.
   milliseconds mDistrust{ 1'000 };
   milliseconds mDistrustCap{ 8'000 };
   /// Waits this long for a better place (data, one rack) than the one that is free now.
   milliseconds mLocalityWait{ 1'500 };
-  /// A look waits this long for the next end; below the limit of the protocol (2 s).
-  milliseconds mLookWait{ 1'500 };
+  /// A look waits this long for the next end: short enough to see a stall in two of them, long
+  /// enough that looks stay few beside starts.
+  milliseconds mLookWait{ 800 };
   /// Ends are remembered this long after a job is over; from the deployment, with a margin.
   milliseconds mKeepFinished{ 150'000 };
 };
--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -138,12 +138,15 @@
   const run_id id = aOrder.mRun;
   mState->Note(work_note_kind::kStartFailed, id.mTask.mJob, ToString(id.mTask), aOrder.mWorker,
                ToString(aOutcome), std::chrono::duration_cast<milliseconds>(aNow - aSent));
-  mState->StopOthersOfGang(id, aNow);
   if (aOutcome == start_outcome::kUnknown) {
-    mState->Distrust(worker->second, aNow, "no answer to a start");
-    mState->StopRun(worker->second, id, "no answer to its start", aNow);
+    // Most often only the answer was lost. The worker is asked before anything is stopped.
+    if (run.mPhase == run_phase::kStarting) {
+      run.mPhase = run_phase::kUnclear;
+      run.mPhaseSince = aNow;
+    }
     return;
   }
+  mState->StopOthersOfGang(id, aNow);
   if (aOutcome != start_outcome::kFenced && aOutcome != start_outcome::kHeldBack) {
     mState->Distrust(worker->second, aNow, ToString(aOutcome));
   }
@@ -315,8 +318,10 @@
   plan.mAddress = worker.mInfo.mAddress;
   plan.mIncarnation = worker.mInfo.mIncarnation;
   plan.mAcknowledged = worker.mAcknowledged;
-  plan.mWait =
-    worker.mInTouch && worker.mForeign.empty() ? mState->mOptions.mLookWait : milliseconds{ 0 };
+  const bool unclear = std::ranges::any_of(
+    worker.mRuns, [](const auto& aRun) { return aRun.second.mPhase == run_phase::kUnclear; });
+  const bool mayWait = worker.mInTouch && worker.mForeign.empty() && !unclear;
+  plan.mWait = mayWait ? mState->mOptions.mLookWait : milliseconds{ 0 };
   // A silent worker gets no longer lease: its tasks could never be taken for lost.
   if (worker.mInTouch && ordered) {
     plan.mLeaseUntil = GrantLease(aWorker, aNow);
--- a/src/libwork/work_core_test.cpp
+++ b/src/libwork/work_core_test.cpp
@@ -141,6 +141,16 @@
     fleet.Run(milliseconds(1'500));
     BW_CHECK(fleet.StoredState("a") == work_state::kCompleted);
   }
+  BW_SECTION("stop nothing for an answer that was lost")
+  {
+    fleet.mFaults.mLostAnswer = 1;
+    fleet.Submit(Gang("a", "batch", 4, 1));
+    fleet.Run(milliseconds(50));
+    fleet.mFaults = {};
+    fleet.Run(milliseconds(2'000));
+    BW_EQUAL(4, fleet.Starts("a"));
+    BW_CHECK(fleet.StoredState("a") == work_state::kCompleted);
+  }
   BW_SECTION("go on elsewhere when a worker stands still")
   {
     fleet.Submit(Job("a", "batch", { Step(1, 1) }), milliseconds(5'000));
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -155,6 +155,7 @@
   run.mPhaseSince = aNow;
   run.mProgressAt = aNow;
   run.mStartedAt = aNow;
+  run.mStallTime = StallTime(step, mOptions);
   worker.mUsed += run.mDemand;
   worker.mRuns.emplace(aRun, run);
   worker.mInTouch = false;
--- a/src/libwork/work_reports.cpp
+++ b/src/libwork/work_reports.cpp
@@ -28,6 +28,7 @@
       return aRun.mStopAnswered && aRun.mStopAnsweredAt <= aSent;
     case run_phase::kRecording:
     case run_phase::kStarting:
+    case run_phase::kUnclear: // may still be on its way
       return false;
   }
   return false;
@@ -66,7 +67,8 @@
     task->mCheckpoint = aListed.mCheckpoint;
   }
   std::string_view reason;
-  if (aRun.mPhase == run_phase::kStarting || aRun.mPhase == run_phase::kRestored) {
+  if (aRun.mPhase == run_phase::kStarting || aRun.mPhase == run_phase::kUnclear ||
+      aRun.mPhase == run_phase::kRestored) {
     aRun.mPhase = run_phase::kRunning;
     aRun.mPhaseSince = aNow;
     aRun.mStartAnswered = aNow;
@@ -80,7 +82,7 @@
   }
   constexpr int kWhole = 100;
   const bool stalled = aRun.mPhase == run_phase::kRunning && aRun.mPercent < kWhole &&
-                       aNow - aRun.mProgressAt > mOptions.mStallTime;
+                       aNow - aRun.mProgressAt > aRun.mStallTime;
   return stalled ? kNoProgress : reason;
 }
 
@@ -129,8 +131,13 @@
       continue;
     }
     const bool ended = std::ranges::count(aReport.mEnds, id, &listed_end::mRun) > 0;
-    if (!ended && !aReport.mMoreEnds && IsSurelyGone(run, aSent)) {
+    if (ended || aReport.mMoreEnds) {
+      continue;
+    }
+    if (IsSurelyGone(run, aSent)) {
       gone.push_back(id);
+    } else if (run.mPhase == run_phase::kUnclear && run.mPhaseSince <= aSent) {
+      toStop.emplace_back(id, "no answer to its start and not listed");
     }
   }
   TakeEnds(aWorker, aReport, aNow);
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -221,6 +221,7 @@
     run.mRecordedIn = aUnit.mJob->mChange;
     run.mPhaseSince = aNow;
     run.mStartedAt = aNow;
+    run.mStallTime = StallTime(spec, mOptions);
     worker->mUsed += run.mDemand;
     worker->mRuns.emplace(run_id{ aUnit.Task(index), task.mRun }, run);
   }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <list>
 #include <map>
 #include <set>
@@ -23,6 +24,14 @@
   return room;
 }
 
+/// How long a run of the step may go without progress.
+inline milliseconds StallTime(const work_step& aStep, const work_options& aOptions)
+{
+  const auto share =
+    std::chrono::duration_cast<milliseconds>(aStep.mEstimate * aOptions.mStallShare);
+  return std::clamp(share, aOptions.mStallLeast, aOptions.mStallMost);
+}
+
 enum class task_phase : std::uint8_t
 {
   kWaiting,
@@ -84,6 +93,7 @@
 {
   kRecording, ///< its record is being stored; no order has left
   kStarting,  ///< ordered, not answered yet
+  kUnclear,   ///< ordered and not answered: the worker's next list tells
   kRunning,
   kRestored, ///< in a record of an earlier leader; the worker has not told of it yet
   kStopping, ///< to be stopped, or of unknown fate and therefore to be stopped
@@ -105,6 +115,7 @@
   int mPercent = -1;
   instant mProgressAt;
   instant mStartedAt;
+  milliseconds mStallTime{ 0 };
 };
 
 struct worker_entry
