Refused at once while the store is known to be away; the lead lasts 1.3 s without renewal

Ruled out: holding them until the store returns (its length is not known; the caller can retry). Change: the store tells whether its last calls went through; intake refuses (503, nothing sent) or leaves an unclear call to its caller (504) at once; lease 2 s -> 1.3 s, renewed each 0.3 s.

--- a/src/include/briarwind/record_store.h
+++ b/src/include/briarwind/record_store.h
@@ -62,6 +62,10 @@
 
   virtual ~record_store() = default;
 
+  /// Whether the last calls went through; false while calls fail one after another. A caller who
+  /// can be sent away is better told at once than after one more failure.
+  virtual bool IsReachable() const { return true; }
+
   virtual io_result<std::optional<stored_value>> Get(std::string_view aKey, instant aDeadline) = 0;
   /// All keys that start with the prefix, sorted. Not a snapshot: mRevision is that of the first
   /// page, so that a watch from there misses nothing.
--- a/src/libcontrol/detour_store.cpp
+++ b/src/libcontrol/detour_store.cpp
@@ -11,6 +11,8 @@
 
 // Calls in a row that have to fail before a peer is asked: one failure is often a lost answer.
 constexpr int kFailuresBeforeDetour = 2;
+// Direct calls that failed, and at least one peer that could not help.
+constexpr int kFailuresBeforeAway = 4;
 constexpr milliseconds kProbeEvery{ 700 };
 constexpr milliseconds kProbeDeadline{ 400 };
 constexpr std::string_view kProbeKey = "briarwind/hosts/leader";
@@ -52,23 +54,33 @@
   return store_relay::Serve(mDirect, aName, aBody);
 }
 
+// The views of settings and hosts go on asking, so this turns true again by itself.
+bool detour_store::IsReachable() const
+{
+  return mFailuresInRow < kFailuresBeforeAway;
+}
+
 template<class Value, class Direct, class Read>
 io_result<Value> detour_store::Route(const Direct& aDirect, const store_relay::call& aCall,
                                      Read aRead, instant aDeadline)
 {
   if (IsDirect()) {
     io_result<Value> answer = aDirect();
-    NoteDirect(answer.has_value() || MeansReached(answer.error().mKind));
+    const bool reached = answer.has_value() || MeansReached(answer.error().mKind);
+    mFailuresInRow = reached ? 0 : mFailuresInRow + 1;
+    NoteDirect(reached);
     return answer;
   }
   const std::string asked = mPeer;
   const auto sent = AskPeer(aCall, aDeadline);
   if (!sent) {
+    ++mFailuresInRow;
     LeavePeer(asked);
     return boost::outcome_v2::failure(sent.error());
   }
   io_result<Value> answer = aRead(sent.value());
   const bool reached = answer.has_value() || MeansReached(answer.error().mKind);
+  mFailuresInRow = reached ? 0 : mFailuresInRow + 1;
   mMetrics.Count(kStoreDetours, reached ? "answered" : ToString(answer.error().mKind));
   if (!reached) {
     LeavePeer(asked);
--- a/src/libcontrol/detour_store.h
+++ b/src/libcontrol/detour_store.h
@@ -23,6 +23,7 @@
 
   /// Whether this host's own way to the store works, as far as is known.
   bool IsDirect() const { return mPeer.empty(); }
+  bool IsReachable() const override;
   /// Answers a peer's call on the direct way.
   http_response Serve(std::string_view aName, std::string_view aBody);
 
@@ -53,7 +54,8 @@
   http_pool mPool;
   std::string mPeer; ///< empty: direct
   std::size_t mNextPeer = 0;
-  int mFailures = 0; ///< of direct calls in a row
+  int mFailures = 0;      ///< of direct calls in a row
+  int mFailuresInRow = 0; ///< on whichever way
   instant mLastDirect;
 };
 
--- a/src/libcontrol/job_intake.cpp
+++ b/src/libcontrol/job_intake.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds kRetryPause{ 50 };
 // A call that was certainly not carried out is refused after this many attempts: the caller can
 // reach another host sooner than this one is served again.
+// One of unknown fate is left to the caller's next try as soon as the store is known to be away.
 constexpr int kCleanAttempts = 3;
 
 } // namespace
@@ -28,6 +29,9 @@
 // own word ends the question; repeating is harmless under the condition.
 intake_answer job_intake::Settle(const store_transaction& aTransaction, instant aDeadline)
 {
+  if (!mStore.IsReachable()) {
+    return { intake_outcome::kNotRun, "store away" };
+  }
   bool unclear = false;
   std::string reason = "no time left";
   for (int attempt = 1; monotonic_clock::now() < aDeadline; ++attempt) {
@@ -39,7 +43,8 @@
     }
     reason = ToString(done.error().mKind);
     unclear = unclear || done.error().mKind == error_kind::kUnknownOutcome;
-    if (!unclear && attempt >= kCleanAttempts) {
+    const bool hopeless = attempt >= kCleanAttempts && !mStore.IsReachable();
+    if (hopeless || (!unclear && attempt >= kCleanAttempts)) {
       break;
     }
     SleepFor(kRetryPause);
@@ -73,6 +78,9 @@
 
 state_answer job_intake::State(const std::string& aJob, instant aDeadline)
 {
+  if (!mStore.IsReachable()) {
+    return {};
+  }
   const auto progress = mStore.Get(work_keys::Progress(aJob), aDeadline);
   if (!progress) {
     return {};
--- a/src/libcontrol/job_intake_test.cpp
+++ b/src/libcontrol/job_intake_test.cpp
@@ -56,6 +56,22 @@
     store.SetDown(false);
     BW_CHECK(!intake.State("a", In(milliseconds(500))).mState);
   }
+  BW_SECTION("sends nothing to a store that is known to be away")
+  {
+    store.SetReachable(false);
+    BW_CHECK(intake.Accept(Job("a"), In(milliseconds(3'000))).mOutcome == intake_outcome::kNotRun);
+    BW_CHECK(!intake.State("a", In(milliseconds(3'000))).mReached);
+    BW_EQUAL(0, store.Calls());
+  }
+  BW_SECTION("leaves an unclear call to its caller once the store is known to be away")
+  {
+    store.DelayWrites(100);
+    store.mBeforeCall = [&] { store.SetReachable(store.Calls() < 2); };
+    const instant begun = monotonic_clock::now();
+    BW_CHECK(intake.Accept(Job("a"), In(milliseconds(3'000))).mOutcome ==
+             intake_outcome::kUnclear);
+    BW_CHECK(monotonic_clock::now() - begun < milliseconds(1'000));
+  }
   BW_SECTION("never calls a job not run that may still come to be stored")
   {
     store.DelayWrites(1);
--- a/src/libcontrol/leadership.cpp
+++ b/src/libcontrol/leadership.cpp
@@ -17,10 +17,10 @@
 namespace {
 
 // A host that died is replaced within this. Renewed four times within it, so that one lost answer
-// does not cost the lead.
-constexpr milliseconds kLeaseTime{ 2'000 };
-constexpr milliseconds kRenewEvery{ 500 };
-constexpr milliseconds kRenewDeadline{ 700 };
+// does not cost the lead; a slow store takes up to 300 ms for an answer.
+constexpr milliseconds kLeaseTime{ 1'300 };
+constexpr milliseconds kRenewEvery{ 300 };
+constexpr milliseconds kRenewDeadline{ 400 };
 // Clocks of two hosts may differ by 2% in speed.
 constexpr double kClockDrift = 0.97;
 // Between the check and the moment an order is on its way.
--- a/src/libcontrol/testing/fake_record_store.h
+++ b/src/libcontrol/testing/fake_record_store.h
@@ -36,6 +36,8 @@
   int Calls() const { return mCalls; }
   /// Runs inside each call before it is carried out.
   std::function<void()> mBeforeCall;
+  bool IsReachable() const override { return mReachable; }
+  void SetReachable(bool aReachable) { mReachable = aReachable; }
 
   io_result<std::optional<stored_value>> Get(std::string_view aKey, instant aDeadline) override;
   io_result<store_listing> List(std::string_view aPrefix, instant aDeadline) override;
@@ -61,6 +63,7 @@
   store_lease mLastLease = 0;
   milliseconds mFailAfter{ 1 };
   bool mDown = false;
+  bool mReachable = true;
   int mLostAnswers = 0;
   int mDelayed = 0;
   int mCalls = 0;
