Eviction weighs what a stop really loses: checkpoints keep work, a gang loses all members' work

Cause: victims were weighed by the work since the last checkpoint interval of one task, although a stop saves a checkpoint and a stopped member ends its whole gang. Change: loss of a step with checkpoints is its restart, of a gang the sum over its members; urgent work beyond a guarantee may cost at most four times its own work.

--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -24,6 +24,10 @@
     3'000
   }; ///< members wait this long for each other; from the deployment
   milliseconds mCheckpointEvery{ 2'000 }; ///< of work; from the deployment
+  milliseconds mRestoreTime{ 300 }; ///< until a task goes on from a checkpoint; from the deployment
+  /// Urgent work beyond a guarantee may cost at most this many times its own work in work of
+  /// others: an hour of urgent work is worth about that much more than one of the rest.
+  double mMostLossFactor = 4;
   double mRemoteFactor = 3; ///< slowdown away from data or over racks; from the deployment
   /// A worker's clock may be 2% slow; the rest covers rounding.
   double mClockSlack = 1.03;
--- a/src/libwork/work_eviction.cpp
+++ b/src/libwork/work_eviction.cpp
@@ -35,13 +35,10 @@
   double mLoss = 0;
 };
 
-double LossOf(const run_entry& aRun, bool aCheckpoints, instant aNow, milliseconds aCheckpointEvery)
+double CoresOf(const task_demand& aDemand)
 {
-  const double cores = static_cast<double>(aRun.mDemand.mMilliCores) / kMilli +
-                       kCoresPerAccelerator * static_cast<double>(aRun.mDemand.mAccelerators);
-  const std::chrono::duration<double> ran = aNow - aRun.mStartedAt;
-  const std::chrono::duration<double> most = aCheckpointEvery;
-  return cores * (aCheckpoints ? std::min(ran.count(), most.count()) : ran.count());
+  return static_cast<double>(aDemand.mMilliCores) / kMilli +
+         kCoresPerAccelerator * static_cast<double>(aDemand.mAccelerators);
 }
 
 // Stops the cheapest victims until one more task fits; the loss, or nothing when it never does.
@@ -159,6 +156,34 @@
   return aEntry.mPhase == run_phase::kRunning && priority > aUnit.mQueue->mPriority;
 }
 
+// Core-seconds that are lost when the run is stopped. A stop saves what a step with checkpoints has
+// done, so that only its restart is lost; a gang loses the work of all its members.
+double work_core::state::LossOf(const run_id& aRun, const run_entry& aEntry, instant aNow)
+{
+  const job_entry* job = FindJob(aRun.mTask.mJob);
+  const step_entry* step = FindStep(aRun.mTask);
+  if (job == nullptr || step == nullptr) {
+    return 0;
+  }
+  const work_step& spec = job->mSpec.mSteps[static_cast<std::size_t>(aRun.mTask.mStep)];
+  const std::chrono::duration<double> ran = aNow - aEntry.mStartedAt;
+  const std::chrono::duration<double> restart = mOptions.mRestoreTime;
+  const double members = spec.mGang ? static_cast<double>(spec.mCount) : 1;
+  return members * CoresOf(aEntry.mDemand) * (spec.mCheckpoints ? restart.count() : ran.count());
+}
+
+// Most core-seconds that may be lost for the unit. What is guaranteed is owed at any price.
+double work_core::state::MostLoss(const ready_unit& aUnit) const
+{
+  if (aUnit.mGuaranteed) {
+    return std::numeric_limits<double>::infinity();
+  }
+  const work_step& spec = aUnit.Spec();
+  const std::chrono::duration<double> estimate = spec.mEstimate;
+  return mOptions.mMostLossFactor * static_cast<double>(spec.mCount) * CoresOf(spec.mDemand) *
+         estimate.count();
+}
+
 // Takes the room of work that may be stopped, and keeps it until the stopped runs are gone.
 bool work_core::state::PlaceByEviction(ready_unit& aUnit, instant aNow)
 {
@@ -177,13 +202,8 @@
       if (!MayStop(aUnit, run, entry)) {
         continue;
       }
-      const job_entry* job = FindJob(run.mTask.mJob);
-      const bool checkpoints =
-        job != nullptr && job->mSpec.mSteps[static_cast<std::size_t>(run.mTask.mStep)].mCheckpoints;
       const bool stopping = entry.mPhase == run_phase::kStopping;
-      host.mVictims.push_back(
-        { run, &entry,
-          stopping ? 0 : LossOf(entry, checkpoints, aNow, mOptions.mCheckpointEvery) });
+      host.mVictims.push_back({ run, &entry, stopping ? 0 : LossOf(run, entry, aNow) });
     }
     std::ranges::sort(host.mVictims, {}, [](const victim& aVictim) {
       return aVictim.mLoss / std::max(1, aVictim.mEntry->mDemand.mAccelerators);
@@ -192,6 +212,9 @@
   }
 
   const eviction_plan best = eviction_search(hosts, aUnit, waiting).Run();
+  if (best.mLoss > MostLoss(aUnit)) {
+    return false;
+  }
   for (const auto& [index, worker] : best.mPlaces) {
     task_entry& task = aUnit.Entry().mTasks[static_cast<std::size_t>(index)];
     task.mPhase = task_phase::kClaimed;
