--- a/src/include/briarwind/control_node.h
+++ b/src/include/briarwind/control_node.h
@@ -25,8 +25,8 @@
   std::function<std::unique_ptr<worker_registry>(record_store&)> mMakeRegistry;
   const operator_settings_codec* mOperators = nullptr;
   std::function<http_response(caller_desk&, const http_request&)> mAnswerCaller;
-  /// Reads the process's settings again; asked at SIGHUP and now and then. False: they cannot be used
-  /// and the former ones hold.
+  /// Reads the process's settings again; asked at SIGHUP and now and then. False: they cannot be
+  /// used and the former ones hold.
   std::function<bool()> mReload;
 };
 
--- a/src/include/briarwind/log.h
+++ b/src/include/briarwind/log.h
@@ -52,8 +52,8 @@
 /// Replaces the sink, for tests. An empty function restores standard error.
 void SetLogSink(void (*aSink)(std::string_view aLine));
 
-/// Lines go to standard output from now on, at most aLinesPerSecond of them on average. Writing never
-/// waits: what the reader of the output does not take is dropped and counted.
+/// Lines go to standard output from now on, at most aLinesPerSecond of them on average. Writing
+/// never waits: what the reader of the output does not take is dropped and counted.
 void LogToStandardOutput(int aLinesPerSecond);
 
 /// Lines dropped by the sink of LogToStandardOutput since the last call.
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -54,6 +54,8 @@
       return kWorkWorkerLost;
     case work_note_kind::kWorkerDistrusted:
       return kWorkWorkerDistrusted;
+    case work_note_kind::kWorkerSlow:
+      return kWorkWorkerSlow;
   }
   return kWorkLost;
 }
--- a/src/libwork/testing/fleet_simulation.h
+++ b/src/libwork/testing/fleet_simulation.h
@@ -46,6 +46,7 @@
   std::set<std::int64_t> mLapsedEnds;
   bool mFailsAll = false;
   bool mStandsStill = false;
+  int mSlowness = 1;
 
   milliseconds Clock(instant aNow) const;
 
