--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -37,12 +37,6 @@
   double mStallShare = 0.3;
   milliseconds mStallLeast{ 900 };
   milliseconds mStallMost{ 3'000 };
-  /// A run that goes this many times slower than its siblings, or than runs of its queue do, shows
-  /// its worker to be slow. Above what fast and slow kinds of machines differ by (1.3).
-  double mSlowAgainstSiblings = 2.5;
-  double mSlowAgainstUsual = 3.5;
-  /// A slow worker gets no starts for this long after it was last seen slow.
-  milliseconds mSlowTime{ 3'000 };
   /// How long a worker that failed or refused a run gets no further ones; doubles with each in a
   /// row up to the cap. The first is shorter than any task, the cap a tenth of a lease's life more.
   milliseconds mDistrust{ 1'000 };
@@ -85,7 +79,6 @@
   kWorkerRestored, ///< a worker answered for the first time in this life
   kWorkerLost,     ///< the leases of a silent worker have run out
   kWorkerDistrusted,
-  kWorkerSlow, ///< a run there goes far slower than its like
 };
 
 std::string_view ToString(work_note_kind aKind);
--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -16,11 +16,11 @@
   kWorkEvicted,          kWorkStopped,        kWorkLost,
   kWorkJobOver,          kWorkWorkerRestored, kWorkWorkerLost,
   kWorkWorkerDistrusted, kWorkUnreadable,     kWorkForgotten,
-  kWorkWorkerSlow,       kJobAccepted,        kJobRefused,
-  kJobUnclear,           kJobCancelAsked,     kSettingsInForce,
-  kSettingsUnreadable,   kDomainsChanged,     kNodeStarted,
-  kNodeStopping,         kNodeStopped,        kNodeReady,
-  kNodeReloaded,         kNodeReloadFailed,   kLogLinesDropped,
+  kJobAccepted,          kJobRefused,         kJobUnclear,
+  kJobCancelAsked,       kSettingsInForce,    kSettingsUnreadable,
+  kDomainsChanged,       kNodeStarted,        kNodeStopping,
+  kNodeStopped,          kNodeReady,          kNodeReloaded,
+  kNodeReloadFailed,     kLogLinesDropped,
 };
 
 constexpr std::array kMetrics{
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -95,10 +95,6 @@
   6111, log_level::kWarning, "work.worker-distrusted",
   "A worker gets no starts for `age_ms`, for the reason given."
 };
-inline constexpr event_kind kWorkWorkerSlow{
-  6114, log_level::kWarning, "work.worker-slow",
-  "A run goes far slower than its like; its worker gets no starts for a while."
-};
 inline constexpr event_kind kWorkUnreadable{
   6112, log_level::kError, "work.record-unreadable",
   "A job in the store cannot be read; it is left alone."
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -54,8 +54,6 @@
       return kWorkWorkerLost;
     case work_note_kind::kWorkerDistrusted:
       return kWorkWorkerDistrusted;
-    case work_note_kind::kWorkerSlow:
-      return kWorkWorkerSlow;
   }
   return kWorkLost;
 }
--- a/src/libwork/testing/fleet_simulation.cpp
+++ b/src/libwork/testing/fleet_simulation.cpp
@@ -112,7 +112,7 @@
   if (aRun.mStopping) {
     return aNow - aRun.mStoppedAt >= kStopTakes ? std::optional(run_end::kStopped) : std::nullopt;
   }
-  aRun.mLeft -= mStandsStill ? milliseconds{ 0 } : aPassed / mSlowness;
+  aRun.mLeft -= mStandsStill ? milliseconds{ 0 } : aPassed;
   if (aRun.mLeft.count() > 0) {
     return std::nullopt;
   }
--- a/src/libwork/testing/fleet_simulation.h
+++ b/src/libwork/testing/fleet_simulation.h
@@ -46,7 +46,6 @@
   std::set<std::int64_t> mLapsedEnds;
   bool mFailsAll = false;
   bool mStandsStill = false;
-  int mSlowness = 1;
 
   milliseconds Clock(instant aNow) const;
 
--- a/src/libwork/work_names.cpp
+++ b/src/libwork/work_names.cpp
@@ -56,9 +56,9 @@
 
 std::string_view ToString(work_note_kind aKind)
 {
-  static constexpr std::array<std::string_view, 12> kNames{
+  static constexpr std::array<std::string_view, 11> kNames{
     "job-known", "started",  "start-failed",    "ended",       "evicted",           "stopped",
-    "lost",      "job-over", "worker-restored", "worker-lost", "worker-distrusted", "worker-slow",
+    "lost",      "job-over", "worker-restored", "worker-lost", "worker-distrusted",
   };
   return NameAt(kNames, aKind);
 }
--- a/src/libwork/work_reports.cpp
+++ b/src/libwork/work_reports.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr std::string_view kNoProgress = "no progress";
-constexpr std::string_view kSlowWorker = "would be done sooner elsewhere";
 
 const listed_run* FindListed(const worker_report& aReport, const run_id& aRun)
 {
@@ -95,10 +94,7 @@
       continue;
     }
     aWorker.mSeenEnds = each.mNumber;
-    if (const auto run = aWorker.mRuns.find(each.mRun); run != aWorker.mRuns.end()) {
-      if (each.mHow == run_end::kDone) {
-        LearnTime(each.mRun, run->second, aNow);
-      }
+    if (aWorker.mRuns.contains(each.mRun)) {
       RunEnded(aWorker, each.mRun, each.mHow, each.mCheckpoint, aNow);
     }
     // Also for a run that is not known here: the end may have been taken note of already, while its
@@ -128,11 +124,7 @@
   std::vector<run_id> gone;
   for (auto& [id, run] : aWorker.mRuns) {
     if (const listed_run* listed = FindListed(aReport, id)) {
-      std::string_view reason = TakeListed(id, run, *listed, aNow);
-      MeasurePace(run, *listed, aNow);
-      if (reason.empty() && IsHeldUp(aWorker, id, run, aNow)) {
-        reason = kSlowWorker;
-      }
+      const std::string_view reason = TakeListed(id, run, *listed, aNow);
       if (!reason.empty()) {
         toStop.emplace_back(id, reason);
       }
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -153,7 +153,6 @@
   const registered_worker& info = aWorker.mInfo;
   return aWorker.mListed && aWorker.mInTouch && aWorker.mForeign.empty() && !info.mLeaving &&
          info.mService == aUnit.mQueue->mService && aWorker.mDistrustedUntil <= aNow &&
-         aWorker.mSlowUntil <= aNow &&
          std::ranges::count(mSettings.mWithdrawnDomains, info.mDomain) == 0 &&
          (spec.mRequiredLabel.empty() || std::ranges::count(info.mLabels, spec.mRequiredLabel) > 0);
 }
@@ -211,10 +210,6 @@
   }
   Changed(*aUnit.mJob);
   aUnit.mJob->mState = work_state::kRunning;
-  const bool spread =
-    spec.mGang && spec.mRackLocal && std::ranges::any_of(aPlaces, [&](const auto& aPlace) {
-      return aPlace.second->mInfo.mRack != aPlaces.front().second->mInfo.mRack;
-    });
   for (const auto& [index, worker] : aPlaces) {
     task_entry& task = step.mTasks[static_cast<std::size_t>(index)];
     task.mPhase = task_phase::kLive;
@@ -223,7 +218,6 @@
     run_entry run;
     run.mDemand = RoomOf(spec);
     run.mGang = spec.mGang;
-    run.mAway = spread || (!spec.mDataRack.empty() && worker->mInfo.mRack != spec.mDataRack);
     run.mRecordedIn = aUnit.mJob->mChange;
     run.mPhaseSince = aNow;
     run.mStartedAt = aNow;
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -46,7 +46,6 @@
   run_number mRun = 0; ///< of the last start
   std::string mWorker; ///< of the claim or of the live run
   int mFailures = 0;
-  int mRescues = 0; ///< times it was taken away from a slow worker
   std::string mCheckpoint;
   std::set<std::string> mFailedOn;
 };
@@ -117,10 +116,6 @@
   instant mProgressAt;
   instant mStartedAt;
   milliseconds mStallTime{ 0 };
-  int mPaceFrom = -1; ///< percent at mPaceSince, from which the pace is measured
-  instant mPaceSince;
-  milliseconds mWhole{ 0 }; ///< time the whole run takes at its present pace; 0: not known yet
-  bool mAway = false;       ///< not with its data, or its gang is spread over racks
 };
 
 struct worker_entry
@@ -141,7 +136,6 @@
   std::int64_t mSeenEnds = 0;
   bool mAckDue = false;
   instant mDistrustedUntil;
-  instant mSlowUntil;
   int mFailuresInRow = 0;
 
   task_demand Free() const { return mInfo.mCapacity - mUsed - mClaimed; }
@@ -178,7 +172,6 @@
   std::map<std::string, job_entry> mJobs;
   std::map<std::string, worker_entry> mWorkers;
   std::vector<work_action> mActions;
-  std::map<std::string, milliseconds> mUsualTime; ///< of a run, learned by queue
   bool mReplan = false; ///< something changed that may let a task be placed
   instant mReplanAt;    ///< planned again by then anyhow
 
@@ -217,12 +210,6 @@
   void TakeReport(worker_entry& aWorker, const worker_report& aReport, instant aSent, instant aNow);
   std::string_view TakeListed(const run_id& aId, run_entry& aRun, const listed_run& aListed,
                               instant aNow);
-  void MeasurePace(run_entry& aRun, const listed_run& aListed, instant aNow) const;
-  void LearnTime(const run_id& aRun, const run_entry& aEntry, instant aNow);
-  /// Whether the run would be done sooner when started anew elsewhere.
-  bool IsHeldUp(worker_entry& aWorker, const run_id& aId, const run_entry& aRun, instant aNow);
-  milliseconds UsualTime(const job_entry& aJob, const work_step& aStep) const;
-  std::optional<milliseconds> MiddleOfSiblings(const run_id& aId);
   void TakeEnds(worker_entry& aWorker, const worker_report& aReport, instant aNow);
   void StopForeign(worker_entry& aWorker, const worker_report& aReport);
   void NewLife(worker_entry& aWorker, std::int64_t aIncarnation, instant aNow);
