--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,6 +6,13 @@
 mapfile -t all < <(git ls-files -co --exclude-standard '*.cpp' '*.h' | grep -v '\.pb\.')
 clang-format-19 --dry-run --Werror "${all[@]}"
 
+# The platform's words stay in its folder.
+words='kv-(txn|key|range|watch|lease|keep)|run-start|run-stop|machine-(move|upkeep)|fencing_token|acked_through|minion|evacuate|tenant'
+if git grep -nE "$words" -- src; then
+  echo "words of the platform's wire outside platform/" >&2
+  exit 1
+fi
+
 mapfile -t sources < <(printf '%s\n' "${all[@]}" | grep '\.cpp$')
 # What passed is kept beside the repository's objects, so that all its worktrees share it, and one
 # run at a time does the work.
--- a/testsuite/catalogue/run.py
+++ b/testsuite/catalogue/run.py
@@ -11,7 +11,7 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-PROGRAMS = ["briarwind-router", "briarwind-scheduler", "briarwind-ctl", "standin-store",
+PROGRAMS = ["briarwind-router", "briarwind-scheduler", "briarwind-node", "briarwind-ctl", "standin-store",
             "standin-hostlist", "standin-worker", "standin-instance"]
 EVENT_ROW = re.compile(r"^\| BW\d+ \|")
 METRIC_ROW = re.compile(r"^\| `")
