--- a/spec/intake.pml
+++ b/spec/intake.pml
@@ -26,8 +26,8 @@
 {
   if
   :: outcome = 1 /* certainly not done */
-  :: atomic { if :: stored == 0 -> stored++ :: else fi; outcome = 2 } /* there, and told so */
-  :: atomic { if :: stored == 0 -> stored++ :: else fi; outcome = 3 } /* there, answer lost */
+  :: atomic { true -> if :: stored == 0 -> stored++ :: else fi; outcome = 2 } /* there, and told so */
+  :: atomic { true -> if :: stored == 0 -> stored++ :: else fi; outcome = 3 } /* there, answer lost */
   :: atomic { late < 2 -> late++; outcome = 3 } /* no answer, perhaps later */
   fi
 }
@@ -35,13 +35,14 @@
 proctype Caller()
 {
   byte host = 0, attempt, outcome;
-  bool unclear;
+  bool unclear, away;
   do
   :: host < HOSTS && !accepted ->
     attempt = 0;
     unclear = false;
+    away = false;
     do
-    :: attempt < TRIES ->
+    :: attempt < TRIES && !away ->
       write(outcome);
       attempt++;
       if
@@ -60,9 +61,10 @@
       :: else
       fi;
 #endif
+      /* The store may become known to be away. */
       if
-      :: skip
-      :: break /* the store is known to be away */
+      :: away = false
+      :: away = true
       fi
     :: else -> break
     od;
