Lasting steps and advised queues

Change: lasting tasks go back whatever their end, are never stopped for others and may stop others; steps of an advised queue are placed only on workers that the advisor names, asked in batches of 30 with the most room first, one question a host at a time, tickets reused while they hold. Ruled out as covered: pacing, waves and moves between pools are not built.

--- a/src/include/briarwind/control_node.h
+++ b/src/include/briarwind/control_node.h
@@ -21,6 +21,7 @@
 {
   record_store* mStore = nullptr;
   worker_gateway* mWorkers = nullptr;
+  placement_advisor* mAdvisor = nullptr;
   /// Made on the store as this host reaches it, which may be through a peer.
   std::function<std::unique_ptr<worker_registry>(record_store&)> mMakeRegistry;
   const operator_settings_codec* mOperators = nullptr;
--- a/src/include/briarwind/node_settings.h
+++ b/src/include/briarwind/node_settings.h
@@ -18,8 +18,9 @@
   endpoint mReadiness; ///< listens for the balancer
   endpoint mPeers;     ///< listens for the other hosts; also serves the metrics
   endpoint mStore;
-  double mProcessorShare = 1;   ///< of a core; the strongest hosts lead
-  milliseconds mGrace{ 6'000 }; ///< from SIGTERM to SIGKILL
+  std::optional<endpoint> mAdvisor; ///< says where steps may run, for queues that ask
+  double mProcessorShare = 1;       ///< of a core; the strongest hosts lead
+  milliseconds mGrace{ 6'000 };     ///< from SIGTERM to SIGKILL
   work_options mWork;
 
   bool operator==(const node_settings&) const = delete;
--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -57,6 +57,26 @@
   std::string mWorker;
   std::string mPayload;
   std::string mCheckpoint;
+  std::string mTicket; ///< of the advisor; empty where the queue asks for no advice
+};
+
+/// Question to the advisor: which of these workers may run the step.
+struct ask_advice
+{
+  task_id mStep; ///< its index is of no account
+  std::vector<std::string> mWorkers;
+};
+
+/// The advisor's answer.
+struct placement_advice
+{
+  struct row
+  {
+    std::string mWorker;
+    std::string mTicket;
+  };
+  std::vector<row> mGood;
+  milliseconds mValid{ 0 }; ///< the tickets hold for this long
 };
 
 /// Order to stop one run.
@@ -94,7 +114,7 @@
   milliseconds mAge{ 0 }; ///< of the worker's last report, or of the job at its end
 };
 
-using work_action = std::variant<start_run, stop_run, work_note>;
+using work_action = std::variant<start_run, stop_run, ask_advice, work_note>;
 
 /// What to ask one worker next.
 struct look_plan
@@ -158,6 +178,9 @@
 
   void OnStarted(const start_run& aOrder, start_outcome aOutcome, instant aSent, instant aNow);
   void OnStopped(const stop_run& aOrder, stop_outcome aOutcome, instant aSent, instant aNow);
+  /// Nothing: there was no answer, and the question may be asked again.
+  void OnAdvice(const ask_advice& aQuestion, const std::optional<placement_advice>& aAnswer,
+                instant aNow);
   /// @param aSent when the question left, which bounds what the answer can know
   void OnReport(const std::string& aWorker, const worker_report& aReport, instant aSent,
                 instant aNow);
--- a/src/include/briarwind/work_model.h
+++ b/src/include/briarwind/work_model.h
@@ -80,6 +80,7 @@
   int mAttempts = 1;         ///< runs of one task that may fail before its job fails
   double mSlack = 1;         ///< objective: this many times the longest chain of work …
   milliseconds mTarget{ 0 }; ///< … and this much more
+  bool mAsksAdvice = false;  ///< only workers that an advisor names may run a step
 
   bool operator==(const work_queue&) const = default;
 };
@@ -213,6 +214,7 @@
   kFenced,    ///< the worker obeys a newer leader
   kOldRun,    ///< not higher than a run that was stopped or ended there
   kLate,      ///< its time had passed on the worker's clock
+  kNoTicket,  ///< the advisor's ticket is missing or has run out
   kNoRoom,    ///< the worker guards its capacity
   kRefused,   ///< certainly not done, for another reason
   kOtherLife, ///< the worker has started anew since
--- a/src/include/briarwind/worker_gateway.h
+++ b/src/include/briarwind/worker_gateway.h
@@ -26,6 +26,14 @@
                                         std::int64_t aEpoch, instant aDeadline) = 0;
 };
 
+/// Says which workers may run the steps of a queue whose policy asks for advice.
+class placement_advisor
+{
+public:
+  virtual ~placement_advisor() = default;
+  virtual io_result<placement_advice> Ask(const ask_advice& aQuestion, instant aDeadline) = 0;
+};
+
 /// The workers that are there, as the platform lists them.
 class worker_registry
 {
--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -24,9 +24,10 @@
 };
 
 constexpr std::array kMetrics{
-  kStoreCalls,    kStoreFailures,    kStoreRelists,   kStoreDetours, kWorkDecisionTime,
-  kWorkWriteTime, kWorkWriteRetries, kWorkOrders,     kWorkStops,    kWorkLooks,
-  kWorkNotes,     kCallerCalls,      kCallerRefusals, kCallerTime,   kPeerCalls,
+  kStoreCalls,       kStoreFailures,  kStoreRelists,     kStoreDetours,
+  kWorkDecisionTime, kWorkWriteTime,  kWorkWriteRetries, kWorkOrders,
+  kWorkStops,        kWorkLooks,      kAdviceCalls,      kWorkNotes,
+  kCallerCalls,      kCallerRefusals, kCallerTime,       kPeerCalls,
 };
 
 } // namespace
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -182,6 +182,9 @@
 inline constexpr metric_kind kWorkLooks{ metric_type::kCounter, "briarwind_node_looks_total",
                                          "outcome",
                                          "Questions to workers about their runs, by outcome." };
+inline constexpr metric_kind kAdviceCalls{ metric_type::kCounter,
+                                           "briarwind_node_advice_calls_total", "outcome",
+                                           "Questions to the advisor by outcome." };
 inline constexpr metric_kind kWorkNotes{ metric_type::kCounter, "briarwind_node_decisions_total",
                                          "kind", "Decisions of the core by kind." };
 inline constexpr metric_kind kCallerCalls{ metric_type::kCounter,
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -62,7 +62,8 @@
             [this](const std::string& aQueue, instant aDeadline) {
               return CountWaiting(aQueue, aDeadline);
             })
-    , mDriver(aRuntime, mStore, *aAdapters.mWorkers, *mRegistry, aMetrics, aSettings.mWork)
+    , mDriver(aRuntime, mStore, { aAdapters.mWorkers, aAdapters.mAdvisor, mRegistry.get() },
+              aMetrics, aSettings.mWork)
     , mLead(aRuntime, mStore, aMetrics, aSettings.mName, ToString(aSettings.mPeers),
             aSettings.mProcessorShare,
             { [this](std::int64_t /*aEpoch*/) { Gained(); }, [this] { mDriver.Abdicate(); } })
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -17,6 +17,8 @@
 // its gang, whose other members wait at most a few seconds.
 constexpr milliseconds kOrderDeadline{ 600 };
 constexpr milliseconds kLookSlack{ 600 };
+// An answer takes time for each worker named, behind the calls that came before.
+constexpr milliseconds kAdviceDeadline{ 2'000 };
 constexpr milliseconds kWriteRetry{ 60 };
 constexpr milliseconds kForgetEvery{ 5'000 };
 // Two entries of a transaction, condition and write, belong to each record; one more condition
@@ -79,13 +81,13 @@
 
 } // namespace work_keys
 
-work_driver::work_driver(fiber_runtime& aRuntime, record_store& aStore, worker_gateway& aGateway,
-                         worker_registry& aRegistry, metrics& aMetrics,
-                         const work_options& aOptions)
+work_driver::work_driver(fiber_runtime& aRuntime, record_store& aStore, const outside& aOutside,
+                         metrics& aMetrics, const work_options& aOptions)
   : mRuntime(aRuntime)
   , mStore(aStore)
-  , mGateway(aGateway)
-  , mRegistry(aRegistry)
+  , mGateway(*aOutside.mWorkers)
+  , mRegistry(*aOutside.mRegistry)
+  , mAdvisor(aOutside.mAdvisor)
   , mMetrics(aMetrics)
   , mCore(aOptions)
 {
@@ -302,6 +304,11 @@
     LogNote(*note);
     return;
   }
+  if (auto* question = std::get_if<ask_advice>(&aAction)) {
+    mQuestions.push_back(std::move(*question));
+    AskNext();
+    return;
+  }
   ++mOrders;
   mRuntime.Spawn([this, action = std::move(aAction)] {
     if (const auto* start = std::get_if<start_run>(&action)) {
@@ -335,6 +342,33 @@
   }
 }
 
+// The advisor takes one call of each host at a time, so questions wait here, where those that
+// nobody needs any more cost nothing.
+void work_driver::AskNext()
+{
+  if (mQuestions.empty() || std::exchange(mAsking, true)) {
+    return;
+  }
+  mRuntime.Spawn([this] {
+    while (!mQuestions.empty()) {
+      const ask_advice question = std::move(mQuestions.front());
+      mQuestions.pop_front();
+      const std::int64_t epoch = mCore.Epoch();
+      std::optional<placement_advice> advice;
+      if (mAdvisor != nullptr && mActing) {
+        const auto answer = mAdvisor->Ask(question, monotonic_clock::now() + kAdviceDeadline);
+        mMetrics.Count(kAdviceCalls, answer ? "answered" : ToString(answer.error().mKind));
+        advice = answer ? std::optional(answer.value()) : std::nullopt;
+      }
+      if (IsReign(epoch)) {
+        mCore.OnAdvice(question, advice, monotonic_clock::now());
+        Pump();
+      }
+    }
+    mAsking = false;
+  });
+}
+
 void work_driver::PerformStop(const stop_run& aOrder)
 {
   const std::int64_t epoch = mCore.Epoch();
--- a/src/libcontrol/work_driver.h
+++ b/src/libcontrol/work_driver.h
@@ -6,6 +6,7 @@
 #include "briarwind/work_core.h"
 #include "briarwind/worker_gateway.h"
 
+#include <deque>
 #include <memory>
 #include <set>
 #include <string>
@@ -27,8 +28,15 @@
 class work_driver
 {
 public:
-  work_driver(fiber_runtime& aRuntime, record_store& aStore, worker_gateway& aGateway,
-              worker_registry& aRegistry, metrics& aMetrics, const work_options& aOptions);
+  struct outside
+  {
+    worker_gateway* mWorkers = nullptr;
+    placement_advisor* mAdvisor = nullptr; ///< may be absent
+    worker_registry* mRegistry = nullptr;
+  };
+
+  work_driver(fiber_runtime& aRuntime, record_store& aStore, const outside& aOutside,
+              metrics& aMetrics, const work_options& aOptions);
 
   /// Runs in a fiber of its own until the reign is over.
   void Reign(const leadership& aLead, std::function<void()> aDeposed);
@@ -57,6 +65,7 @@
   void Perform(work_action aAction);
   void PerformStart(const start_run& aOrder);
   void PerformStop(const stop_run& aOrder);
+  void AskNext();
   void LogNote(const work_note& aNote);
   void StartLooks();
   void RunLook(const std::string& aWorker, const look_plan& aPlan);
@@ -71,6 +80,7 @@
   record_store& mStore;
   worker_gateway& mGateway;
   worker_registry& mRegistry;
+  placement_advisor* mAdvisor;
   metrics& mMetrics;
   work_core mCore;
   work_settings mSettings;
@@ -80,6 +90,8 @@
   bool mPaused = false;
   bool mPumpPending = false;
   std::set<std::string> mLooking;
+  std::deque<ask_advice> mQuestions;
+  bool mAsking = false;
   int mOrders = 0;
   int mWrites = 0;
 };
--- a/src/libwork/testing/fleet_simulation.cpp
+++ b/src/libwork/testing/fleet_simulation.cpp
@@ -300,6 +300,8 @@
   for (const work_action& action : core.TakeActions()) {
     if (const auto* start = std::get_if<start_run>(&action)) {
       Send(aLeader, *start);
+    } else if (const auto* question = std::get_if<ask_advice>(&action)) {
+      Advise(core, *question);
     } else if (const auto* stop = std::get_if<stop_run>(&action)) {
       const std::size_t worker = IndexOf(stop->mWorker);
       const bool lost = mCut.contains(worker) || Chance(mFaults.mLostAnswer);
@@ -333,6 +335,19 @@
   }
 }
 
+void fleet_simulation::Advise(work_core& aCore, const ask_advice& aQuestion)
+{
+  placement_advice advice;
+  advice.mValid = milliseconds(3'000);
+  for (const std::string& each : aQuestion.mWorkers) {
+    if (mAdvised.contains(each)) {
+      advice.mGood.push_back({ each, "ticket" });
+    }
+  }
+  ++mQuestions;
+  aCore.OnAdvice(aQuestion, advice, mNow);
+}
+
 void fleet_simulation::Send(leader& aLeader, const start_run& aOrder)
 {
   work_core& core = *aLeader.mCore;
@@ -366,6 +381,7 @@
     worker.Start(aOrder.mRun, aEpoch, aUntil, mWork[aOrder.mRun.mTask.mJob], mNow);
   if (outcome == start_outcome::kStarted && !known) {
     CheckStart(aOrder, aWorker);
+    ++worker.mStarted;
     ++mStarts[aOrder.mRun.mTask.mJob];
     if (mPoisoned.contains(aOrder.mRun.mTask.mJob)) {
       worker.mRuns[aOrder.mRun].mFails = true;
@@ -393,11 +409,11 @@
       }
     }
   }
-  if (mAcknowledgedDone.contains(task)) {
-    broken("started after its end was acknowledged");
-  }
   const work_job& job = mJobs.at(task.mJob);
   const work_step& step = job.mSteps.at(static_cast<std::size_t>(task.mStep));
+  if (mAcknowledgedDone.contains(task) && !step.mLasting) {
+    broken("started after its end was acknowledged");
+  }
   task_demand used;
   int siblings = 0;
   for (const auto& [other, run] : mWorkers[aWorker]->mRuns) {
--- a/src/libwork/testing/fleet_simulation.h
+++ b/src/libwork/testing/fleet_simulation.h
@@ -46,6 +46,7 @@
   std::set<std::int64_t> mLapsedEnds;
   bool mFailsAll = false;
   bool mStandsStill = false;
+  int mStarted = 0; ///< runs that began here
 
   milliseconds Clock(instant aNow) const;
 
@@ -100,6 +101,9 @@
   std::vector<std::string> mBroken;
   /// Tasks of these jobs fail each time.
   std::set<std::string> mPoisoned;
+  /// Workers that the advisor lets run any step, and how often it was asked.
+  std::set<std::string> mAdvised;
+  int mQuestions = 0;
 
 private:
   struct leader
@@ -135,6 +139,7 @@
   void Send(leader& aLeader, const start_run& aOrder);
   start_outcome Deliver(std::size_t aWorker, const start_run& aOrder, std::int64_t aEpoch,
                         milliseconds aUntil);
+  void Advise(work_core& aCore, const ask_advice& aQuestion);
   void Look(leader& aLeader);
   void CommitDue();
   void CheckStart(const start_run& aOrder, std::size_t aWorker);
--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -147,7 +147,15 @@
     return;
   }
   mState->StopOthersOfGang(id, aNow);
-  if (aOutcome != start_outcome::kFenced && aOutcome != start_outcome::kHeldBack) {
+  if (aOutcome == start_outcome::kNoTicket) {
+    if (step_entry* step = mState->FindStep(id.mTask); step != nullptr) {
+      step->mAdvice.erase(aOrder.mWorker);
+    }
+  }
+  const bool blameless = aOutcome == start_outcome::kFenced ||
+                         aOutcome == start_outcome::kHeldBack ||
+                         aOutcome == start_outcome::kNoTicket;
+  if (!blameless) {
     mState->Distrust(worker->second, aNow, ToString(aOutcome));
   }
   mState->DropRun(worker->second, id);
--- a/src/libwork/work_core_test.cpp
+++ b/src/libwork/work_core_test.cpp
@@ -151,6 +151,38 @@
     BW_EQUAL(4, fleet.Starts("a"));
     BW_CHECK(fleet.StoredState("a") == work_state::kCompleted);
   }
+  BW_SECTION("place the steps of an advised queue only where the advisor lets them")
+  {
+    work_settings settings;
+    settings.mQueues["advised"] = { "pool", 1, 3, 3, milliseconds(1'000), true };
+    fleet.SetSettings(settings);
+    fleet.mAdvised = { "w02", "w05" };
+    fleet.Submit(Job("a", "advised", { Step(4, 8) }), milliseconds(500));
+    fleet.Run(milliseconds(3'000));
+    BW_CHECK(fleet.StoredState("a") == work_state::kCompleted);
+    BW_EQUAL(4, fleet.Starts("a"));
+    BW_EQUAL(1, fleet.mQuestions);
+    for (int i = 0; i < fleet.WorkerCount(); ++i) {
+      const bool advised = fleet.mAdvised.contains(fleet.Worker(i).mInfo.mId);
+      BW_CHECK(advised || fleet.Worker(i).mStarted == 0);
+    }
+  }
+  BW_SECTION("keep a lasting task at work, however it ends and however full the pool is")
+  {
+    work_step lasting = Step(1, 8);
+    lasting.mLasting = true;
+    fleet.Submit(Job("a", "batch", { lasting }), milliseconds(1'000));
+    fleet.Run(milliseconds(100));
+    fleet.Submit(Job("b", "batch", { Step(10, 8) }), milliseconds(30'000));
+    fleet.Submit(Gang("c", "urgent", 8, 8), milliseconds(30'000));
+    fleet.Run(milliseconds(5'000));
+    BW_CHECK(fleet.Starts("a") >= 3);
+    BW_CHECK(!IsFinal(fleet.StoredState("a")));
+    BW_EQUAL(0, fleet.LiveRuns("c")); // needs the whole pool, and lasting work is never stopped
+    fleet.Cancel("a");
+    fleet.Run(milliseconds(1'000));
+    BW_CHECK(fleet.StoredState("a") == work_state::kCancelled);
+  }
   BW_SECTION("go on elsewhere when a worker stands still")
   {
     fleet.Submit(Job("a", "batch", { Step(1, 1) }), milliseconds(5'000));
--- a/src/libwork/work_eviction.cpp
+++ b/src/libwork/work_eviction.cpp
@@ -153,7 +153,10 @@
   const auto queue = mSettings.mQueues.find(job->mSpec.mQueue);
   const int priority =
     queue == mSettings.mQueues.end() ? job->mSpec.mPolicy.mPriority : queue->second.mPriority;
-  return aEntry.mPhase == run_phase::kRunning && priority > aUnit.mQueue->mPriority;
+  const bool lasts = job->mSpec.mSteps[static_cast<std::size_t>(aRun.mTask.mStep)].mLasting;
+  // What lasts is never stopped for others, and has to be back at work however full the pool is.
+  const bool lower = priority > aUnit.mQueue->mPriority || aUnit.Spec().mLasting;
+  return aEntry.mPhase == run_phase::kRunning && !lasts && lower;
 }
 
 // Core-seconds that are lost when the run is stopped. A stop saves what a step with checkpoints has
@@ -175,7 +178,7 @@
 // Most core-seconds that may be lost for the unit. What is guaranteed is owed at any price.
 double work_core::state::MostLoss(const ready_unit& aUnit) const
 {
-  if (aUnit.mGuaranteed) {
+  if (aUnit.mGuaranteed || aUnit.Spec().mLasting) {
     return std::numeric_limits<double>::infinity();
   }
   const work_step& spec = aUnit.Spec();
--- a/src/libwork/work_names.cpp
+++ b/src/libwork/work_names.cpp
@@ -47,9 +47,9 @@
 
 std::string_view ToString(start_outcome aOutcome)
 {
-  static constexpr std::array<std::string_view, 9> kNames{
-    "started", "fenced",     "old-run", "late",      "no-room",
-    "refused", "other-life", "unknown", "held-back",
+  static constexpr std::array<std::string_view, 10> kNames{
+    "started", "fenced",  "old-run",    "late",    "no-ticket",
+    "no-room", "refused", "other-life", "unknown", "held-back",
   };
   return NameAt(kNames, aOutcome);
 }
--- a/src/libwork/work_record.cpp
+++ b/src/libwork/work_record.cpp
@@ -218,11 +218,9 @@
 
 json::object PolicyObject(const work_queue& aQueue)
 {
-  return { { "service", aQueue.mService },
-           { "priority", aQueue.mPriority },
-           { "attempts", aQueue.mAttempts },
-           { "slack", aQueue.mSlack },
-           { "target_ms", aQueue.mTarget.count() } };
+  return { { "service", aQueue.mService },          { "priority", aQueue.mPriority },
+           { "attempts", aQueue.mAttempts },        { "slack", aQueue.mSlack },
+           { "target_ms", aQueue.mTarget.count() }, { "asks_advice", aQueue.mAsksAdvice } };
 }
 
 work_queue ReadPolicy(const json::object& aObject)
@@ -234,6 +232,7 @@
   const json::value* slack = aObject.if_contains("slack");
   queue.mSlack = slack != nullptr && slack->is_number() ? slack->to_number<double>() : 1;
   queue.mTarget = milliseconds(NumberField(aObject, "target_ms"));
+  queue.mAsksAdvice = SwitchField(aObject, "asks_advice");
   return queue;
 }
 
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -46,7 +46,9 @@
   if (!current) {
     return;
   }
-  if (aHow == run_end::kDone) {
+  const work_step& spec =
+    FindJob(aRun.mTask.mJob)->mSpec.mSteps[static_cast<std::size_t>(aRun.mTask.mStep)];
+  if (aHow == run_end::kDone && !spec.mLasting) {
     TaskDone(aRun.mTask, aNow);
     return;
   }
@@ -257,7 +259,8 @@
         run->second.mPhaseSince = aNow;
         run->second.mStartedAt = aNow;
         mActions.emplace_back(start_run{ id, task.mWorker, aJob.mSpec.mPayload,
-                                         spec.mCheckpoints ? task.mCheckpoint : std::string() });
+                                         spec.mCheckpoints ? task.mCheckpoint : std::string(),
+                                         entry.mAdvice[task.mWorker].mTicket });
         Note(work_note_kind::kStarted, aJob.mSpec.mId, ToString(id.mTask), task.mWorker,
              fmt::format("run {}", id.mRun),
              std::chrono::duration_cast<milliseconds>(aNow - worker->second.mClockAt));
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -146,7 +146,7 @@
   }
 }
 
-bool work_core::state::IsUsable(const worker_entry& aWorker, const ready_unit& aUnit,
+bool work_core::state::IsOpenTo(const worker_entry& aWorker, const ready_unit& aUnit,
                                 instant aNow) const
 {
   const work_step& spec = aUnit.Spec();
@@ -157,6 +157,12 @@
          (spec.mRequiredLabel.empty() || std::ranges::count(info.mLabels, spec.mRequiredLabel) > 0);
 }
 
+bool work_core::state::IsUsable(const worker_entry& aWorker, const ready_unit& aUnit,
+                                instant aNow) const
+{
+  return IsOpenTo(aWorker, aUnit, aNow) && IsAdvised(aWorker, aUnit, aNow);
+}
+
 void work_core::state::PlaceAll(instant aNow)
 {
   std::vector<ready_unit> units = ReadyUnits(aNow);
@@ -164,7 +170,8 @@
     CheckClaims(unit, aNow);
   }
   for (ready_unit& unit : units) {
-    if (!PlaceUnit(unit, aNow) && unit.mQueue->mPriority == 0) {
+    const bool mayStopOthers = unit.mQueue->mPriority == 0 || unit.Spec().mLasting;
+    if (!PlaceUnit(unit, aNow) && mayStopOthers) {
       PlaceByEviction(unit, aNow);
     }
   }
@@ -179,6 +186,7 @@
   if (aUnit.Spec().mGang && waiting.size() != aUnit.Entry().mTasks.size()) {
     return true; // members of the last run are not gone yet
   }
+  AskAdvice(aUnit, aNow);
   std::vector<worker_entry*> usable;
   for (auto& [id, worker] : mWorkers) {
     if (IsUsable(worker, aUnit, aNow)) {
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -50,6 +50,15 @@
   std::set<std::string> mFailedOn;
 };
 
+/// What the advisor said of one worker for one step.
+struct advised_worker
+{
+  bool mGood = false;
+  std::string mTicket;
+  instant mValidUntil;
+  std::int64_t mIncarnation = 0;
+};
+
 struct step_entry
 {
   std::vector<task_entry> mTasks;
@@ -58,6 +67,8 @@
   run_number mLastFailedRun = 0; ///< gang only
   instant mReadySince;           ///< since when its turn has come
   bool mReady = false;
+  std::map<std::string, advised_worker> mAdvice;
+  bool mAdviceAsked = false;
 
   bool IsDone() const { return mDone == static_cast<int>(mTasks.size()); }
 };
@@ -218,6 +229,10 @@
   void PlaceAll(instant aNow);
   std::vector<ready_unit> ReadyUnits(instant aNow);
   void RankGuaranteed(std::vector<ready_unit>& aUnits);
+  /// Whether the advisor lets the worker run the unit's step, or need not be asked.
+  bool IsAdvised(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
+  void AskAdvice(const ready_unit& aUnit, instant aNow);
+  bool IsOpenTo(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
   bool IsUsable(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
   bool PlaceUnit(ready_unit& aUnit, instant aNow);
   void Launch(const ready_unit& aUnit, const std::vector<std::pair<int, worker_entry*>>& aPlaces,
