--- a/src/libwork/work_eviction.cpp
+++ b/src/libwork/work_eviction.cpp
@@ -155,7 +155,7 @@
     queue == mSettings.mQueues.end() ? job->mSpec.mPolicy.mPriority : queue->second.mPriority;
   const bool lasts = job->mSpec.mSteps[static_cast<std::size_t>(aRun.mTask.mStep)].mLasting;
   // What lasts is never stopped for others, and has to be back at work however full the pool is.
-  const bool lower = priority > aUnit.mQueue->mPriority || aUnit.Spec().mLasting;
+  const bool lower = priority > aUnit.mQueue->mPriority || (aUnit.Spec().mLasting && priority > 0);
   return aEntry.mPhase == run_phase::kRunning && !lasts && lower;
 }
 
