--- a/spec/takeover.pml
+++ b/spec/takeover.pml
@@ -135,7 +135,7 @@
     unanswered = true;
     restored = false
   :: (worker != WORKERS && !done) ->
-    /* A look, or a wait for the leases when there is no answer. */
+    /* A poll, or a wait for the leases when there is no answer. */
     if
     :: atomic {
         reachable[worker] ->
--- a/src/include/briarwind/control_node.h
+++ b/src/include/briarwind/control_node.h
@@ -13,7 +13,7 @@
 
 namespace briarwind {
 
-class caller_desk;
+class caller_service;
 
 /// What a deployment brings: its store, its workers and the form in which operators and callers
 /// speak.
@@ -25,7 +25,7 @@
   /// Made on the store as this host reaches it, which may be through a peer.
   std::function<std::unique_ptr<worker_registry>(record_store&)> mMakeRegistry;
   const operator_settings_codec* mOperators = nullptr;
-  std::function<http_response(caller_desk&, const http_request&)> mAnswerCaller;
+  std::function<http_response(caller_service&, const http_request&)> mAnswerCaller;
   /// Reads the process's settings again; asked at SIGHUP and now and then. False: they cannot be
   /// used and the former ones hold.
   std::function<bool()> mReload;
--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -39,13 +39,13 @@
   milliseconds mStallMost{ 3'000 };
   /// How long a worker that failed or refused a run gets no further ones; doubles with each in a
   /// row up to the cap. The first is shorter than any task, the cap a tenth of a lease's life more.
-  milliseconds mDistrust{ 1'000 };
-  milliseconds mDistrustCap{ 8'000 };
+  milliseconds mQuarantine{ 1'000 };
+  milliseconds mQuarantineCap{ 8'000 };
   /// Waits this long for a better place (data, one rack) than the one that is free now.
   milliseconds mLocalityWait{ 1'500 };
-  /// A look waits this long for the next end: short enough to see a stall in two of them, long
-  /// enough that looks stay few beside starts.
-  milliseconds mLookWait{ 800 };
+  /// A poll waits this long for the next end: short enough to see a stall in two of them, long
+  /// enough that polls stay few beside starts.
+  milliseconds mPollWait{ 800 };
   /// Ends are remembered this long after a job is over; from the deployment, with a margin.
   milliseconds mKeepFinished{ 150'000 };
 };
@@ -98,7 +98,7 @@
   kJobOver,        ///< a job reached a final state
   kWorkerRestored, ///< a worker answered for the first time in this life
   kWorkerLost,     ///< the leases of a silent worker have run out
-  kWorkerDistrusted,
+  kWorkerQuarantined,
 };
 
 std::string_view ToString(work_note_kind aKind);
@@ -117,7 +117,7 @@
 using work_action = std::variant<start_run, stop_run, ask_advice, work_note>;
 
 /// What to ask one worker next.
-struct look_plan
+struct poll_plan
 {
   std::string mAddress;
   std::int64_t mIncarnation = 0;
@@ -161,11 +161,11 @@
   work_core(const work_core&) = delete;
   work_core& operator=(const work_core&) = delete;
 
-  /// Begins a reign. Everything known before is dropped.
+  /// Begins a term. Everything known before is dropped.
   /// @param aEpoch higher than that of any leader before; workers obey the highest
-  void BeginReign(std::int64_t aEpoch, instant aNow);
+  void BeginTerm(std::int64_t aEpoch, instant aNow);
   /// Ends it: nothing is decided and no action comes out until the next one.
-  void EndReign();
+  void EndTerm();
   std::int64_t Epoch() const;
 
   void SetSettings(const work_settings& aSettings, instant aNow);
@@ -184,8 +184,8 @@
   /// @param aSent when the question left, which bounds what the answer can know
   void OnReport(const std::string& aWorker, const worker_report& aReport, instant aSent,
                 instant aNow);
-  /// A look without an answer.
-  void OnSilence(const std::string& aWorker, instant aNow);
+  /// A poll without an answer.
+  void OnPollFailed(const std::string& aWorker, instant aNow);
 
   /// Places what can be placed and times out what is overdue.
   void Decide(instant aNow, wall_time aWallNow);
@@ -200,7 +200,7 @@
   std::vector<std::string> TakeForgotten(instant aNow);
 
   /// Nothing when the worker needs no look at present.
-  std::optional<look_plan> PlanLook(const std::string& aWorker, instant aNow);
+  std::optional<poll_plan> PlanPoll(const std::string& aWorker, instant aNow);
   std::vector<std::string> Workers() const;
   /// The end of a lease that starts now, on the worker's clock. To be asked right before the order
   /// leaves: the worker counts as holding such a lease from now on.
--- a/src/include/briarwind/work_model.h
+++ b/src/include/briarwind/work_model.h
@@ -124,7 +124,7 @@
   task_demand mCapacity;
   bool mLeaving = false;
   milliseconds mClock{ 0 };      ///< the worker's own clock when it reported
-  std::int64_t mIncarnation = 0; ///< tells one life under an id from the next
+  std::int64_t mIncarnation = 0; ///< tells one incarnation under an id from the next
 
   bool operator==(const registered_worker&) const = default;
 };
@@ -211,15 +211,15 @@
 enum class start_outcome : std::uint8_t
 {
   kStarted,
-  kFenced,    ///< the worker obeys a newer leader
-  kOldRun,    ///< not higher than a run that was stopped or ended there
-  kLate,      ///< its time had passed on the worker's clock
-  kNoTicket,  ///< the advisor's ticket is missing or has run out
-  kNoRoom,    ///< the worker guards its capacity
-  kRefused,   ///< certainly not done, for another reason
-  kOtherLife, ///< the worker has started anew since
-  kUnknown,   ///< no answer: it may be carried out, also later
-  kHeldBack,  ///< not sent: this host may not order at present
+  kFenced,           ///< the worker obeys a newer leader
+  kOldRun,           ///< not higher than a run that was stopped or ended there
+  kLate,             ///< its time had passed on the worker's clock
+  kNoTicket,         ///< the advisor's ticket is missing or has run out
+  kNoRoom,           ///< the worker guards its capacity
+  kRefused,          ///< certainly not done, for another reason
+  kOtherIncarnation, ///< the worker has started anew since
+  kUnknown,          ///< no answer: it may be carried out, also later
+  kHeldBack,         ///< not sent: this host may not order at present
 };
 
 std::string_view ToString(start_outcome aOutcome);
@@ -229,7 +229,7 @@
   kStopping, ///< stops within the worker's stop time, or was never there and never will be
   kFenced,
   kRefused,
-  kOtherLife,
+  kOtherIncarnation,
   kUnknown,
 };
 
--- a/src/include/briarwind/worker_gateway.h
+++ b/src/include/briarwind/worker_gateway.h
@@ -22,7 +22,7 @@
                             std::int64_t aEpoch, instant aDeadline) = 0;
   /// Holds leases, acknowledges ends and asks what runs. kConflict: the worker obeys a newer
   /// leader.
-  virtual io_result<worker_report> Look(const std::string& aWorker, const look_plan& aPlan,
+  virtual io_result<worker_report> Poll(const std::string& aWorker, const poll_plan& aPlan,
                                         std::int64_t aEpoch, instant aDeadline) = 0;
 };
 
--- a/src/libcontrol/caller_desk.cpp
+++ b/src/libcontrol/caller_service.cpp
@@ -1,4 +1,4 @@
-#include "caller_desk.h"
+#include "caller_service.h"
 
 #include "control_events.h"
 
@@ -13,8 +13,8 @@
   return kNames.at(static_cast<std::size_t>(aRefusal));
 }
 
-caller_desk::caller_desk(job_intake& aIntake, const settings_view& aSettings, metrics& aMetrics,
-                         waiting_count aWaiting)
+caller_service::caller_service(job_intake& aIntake, const settings_view& aSettings,
+                               metrics& aMetrics, waiting_count aWaiting)
   : mIntake(aIntake)
   , mSettings(aSettings)
   , mMetrics(aMetrics)
@@ -22,9 +22,9 @@
 {
 }
 
-std::variant<admitted_call, call_refusal> caller_desk::Admit(std::string_view aHost,
-                                                             std::string_view aPath,
-                                                             std::string_view aKey) const
+std::variant<admitted_call, call_refusal> caller_service::Admit(std::string_view aHost,
+                                                                std::string_view aPath,
+                                                                std::string_view aKey) const
 {
   const operator_settings& settings = mSettings.Settings();
   if (settings.mVersion == 0) {
@@ -43,7 +43,7 @@
                         std::string(aPath.substr(route->mPrefix.size())) };
 }
 
-intake_answer caller_desk::Submit(const admitted_call& aCall, work_job aJob, instant aDeadline)
+intake_answer caller_service::Submit(const admitted_call& aCall, work_job aJob, instant aDeadline)
 {
   const instant begun = monotonic_clock::now();
   aJob.mId = aCall.mRest;
@@ -56,7 +56,7 @@
   return answer;
 }
 
-intake_answer caller_desk::Cancel(const admitted_call& aCall, instant aDeadline)
+intake_answer caller_service::Cancel(const admitted_call& aCall, instant aDeadline)
 {
   const instant begun = monotonic_clock::now();
   const intake_answer answer = mIntake.Cancel(aCall.mRest, aDeadline);
@@ -64,7 +64,7 @@
   return answer;
 }
 
-state_answer caller_desk::State(const admitted_call& aCall, instant aDeadline)
+state_answer caller_service::State(const admitted_call& aCall, instant aDeadline)
 {
   const instant begun = monotonic_clock::now();
   const state_answer answer = mIntake.State(aCall.mRest, aDeadline);
@@ -75,7 +75,7 @@
   return answer;
 }
 
-std::optional<int> caller_desk::CountWaiting(const admitted_call& aCall, instant aDeadline)
+std::optional<int> caller_service::CountWaiting(const admitted_call& aCall, instant aDeadline)
 {
   const auto count = mWaiting(aCall.mRoute.mQueue, aDeadline);
   if (!count) {
@@ -84,15 +84,15 @@
   return count;
 }
 
-void caller_desk::NoteRefusal(std::string_view aJob, std::string_view aReason)
+void caller_service::NoteRefusal(std::string_view aJob, std::string_view aReason)
 {
   mMetrics.Count(kCallerRefusals, aReason);
   LogEvent(kJobRefused, { Field("job", aJob), Field("reason", aReason),
                           Field("settings", mSettings.Settings().mVersion) });
 }
 
-void caller_desk::NoteCall(std::string_view aCall, const std::string& aJob,
-                           const intake_answer& aAnswer, instant aBegun)
+void caller_service::NoteCall(std::string_view aCall, const std::string& aJob,
+                              const intake_answer& aAnswer, instant aBegun)
 {
   const auto took = monotonic_clock::now() - aBegun;
   mMetrics.Observe(kCallerTime, took, aCall);
--- a/src/libcontrol/caller_desk.h
+++ b/src/libcontrol/caller_service.h
@@ -25,14 +25,14 @@
 std::string_view ToString(call_refusal aRefusal);
 
 /// Callers' calls in the project's own terms: who may call what, and what becomes of it.
-class caller_desk
+class caller_service
 {
 public:
   /// Asks whoever leads how many jobs of a queue wait; nothing when it cannot be reached.
   using waiting_count = std::function<std::optional<int>(const std::string&, instant)>;
 
-  caller_desk(job_intake& aIntake, const settings_view& aSettings, metrics& aMetrics,
-              waiting_count aWaiting);
+  caller_service(job_intake& aIntake, const settings_view& aSettings, metrics& aMetrics,
+                 waiting_count aWaiting);
 
   std::variant<admitted_call, call_refusal> Admit(std::string_view aHost, std::string_view aPath,
                                                   std::string_view aKey) const;
--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -7,26 +7,26 @@
 namespace {
 
 constexpr std::array kEvents{
-  kStoreViewLost,        kStoreViewRegained,  kStoreDetour,
-  kStoreDirect,          kLeadGained,         kLeadLost,
-  kLeadConfirmed,        kLeadUnconfirmed,    kLeadNotHandedOver,
-  kLeadRefused,          kTakenOver,          kTakeOverFailed,
-  kRegistryLost,         kRegistryRegained,   kWorkJobKnown,
-  kWorkStarted,          kWorkStartFailed,    kWorkEnded,
-  kWorkEvicted,          kWorkStopped,        kWorkLost,
-  kWorkJobOver,          kWorkWorkerRestored, kWorkWorkerLost,
-  kWorkWorkerDistrusted, kWorkUnreadable,     kWorkForgotten,
-  kJobAccepted,          kJobRefused,         kJobUnclear,
-  kJobCancelAsked,       kSettingsInForce,    kSettingsUnreadable,
-  kDomainsChanged,       kNodeStarted,        kNodeStopping,
-  kNodeStopped,          kNodeReady,          kNodeReloaded,
-  kNodeReloadFailed,     kLogLinesDropped,
+  kStoreViewLost,         kStoreViewRegained,  kStoreRelayed,
+  kStoreDirect,           kLeadGained,         kLeadLost,
+  kLeadConfirmed,         kLeadUnconfirmed,    kLeadNotHandedOver,
+  kLeadRefused,           kTakenOver,          kTakeOverFailed,
+  kRegistryLost,          kRegistryRegained,   kWorkJobKnown,
+  kWorkStarted,           kWorkStartFailed,    kWorkEnded,
+  kWorkEvicted,           kWorkStopped,        kWorkLost,
+  kWorkJobOver,           kWorkWorkerRestored, kWorkWorkerLost,
+  kWorkWorkerQuarantined, kWorkUnreadable,     kWorkForgotten,
+  kJobAccepted,           kJobRefused,         kJobUnclear,
+  kJobCancelAsked,        kSettingsInForce,    kSettingsUnreadable,
+  kDomainsChanged,        kNodeStarted,        kNodeStopping,
+  kNodeStopped,           kNodeReady,          kNodeReloaded,
+  kNodeReloadFailed,      kLogLinesDropped,
 };
 
 constexpr std::array kMetrics{
-  kStoreCalls,       kStoreFailures,  kStoreRelists,     kStoreDetours,
+  kStoreCalls,       kStoreFailures,  kStoreRelists,     kStoreRelays,
   kWorkDecisionTime, kWorkWriteTime,  kWorkWriteRetries, kWorkOrders,
-  kWorkStops,        kWorkLooks,      kAdviceCalls,      kWorkNotes,
+  kWorkStops,        kWorkPolls,      kAdviceCalls,      kWorkNotes,
   kCallerCalls,      kCallerRefusals, kCallerTime,       kPeerCalls,
 };
 
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -16,8 +16,8 @@
 inline constexpr event_kind kStoreViewRegained{
   6002, log_level::kInfo, "store.view-regained", "The store answers again for the keys in `prefix`."
 };
-inline constexpr event_kind kStoreDetour{
-  6003, log_level::kWarning, "store.detour",
+inline constexpr event_kind kStoreRelayed{
+  6003, log_level::kWarning, "store.relayed",
   "The store turns this host away; its calls go through the host in `peer`."
 };
 inline constexpr event_kind kStoreDirect{ 6004, log_level::kInfo, "store.direct",
@@ -91,8 +91,8 @@
   6110, log_level::kWarning, "work.worker-lost",
   "The leases of a silent worker have run out; its tasks are started elsewhere."
 };
-inline constexpr event_kind kWorkWorkerDistrusted{
-  6111, log_level::kWarning, "work.worker-distrusted",
+inline constexpr event_kind kWorkWorkerQuarantined{
+  6111, log_level::kWarning, "work.worker-quarantined",
   "A worker gets no starts for `age_ms`, for the reason given."
 };
 inline constexpr event_kind kWorkUnreadable{
@@ -162,8 +162,8 @@
   metric_type::kCounter, "briarwind_node_store_relists_total", "reason",
   "Views of the store that had to be listed anew, by reason."
 };
-inline constexpr metric_kind kStoreDetours{
-  metric_type::kCounter, "briarwind_node_store_detours_total", "outcome",
+inline constexpr metric_kind kStoreRelays{
+  metric_type::kCounter, "briarwind_node_store_relays_total", "outcome",
   "Calls to the store that went through a peer, by outcome."
 };
 inline constexpr metric_kind kWorkDecisionTime{ metric_type::kSummary,
@@ -179,7 +179,7 @@
                                           "outcome", "Orders to start a run, by outcome." };
 inline constexpr metric_kind kWorkStops{ metric_type::kCounter, "briarwind_node_stops_total",
                                          "outcome", "Orders to stop a run, by outcome." };
-inline constexpr metric_kind kWorkLooks{ metric_type::kCounter, "briarwind_node_looks_total",
+inline constexpr metric_kind kWorkPolls{ metric_type::kCounter, "briarwind_node_polls_total",
                                          "outcome",
                                          "Questions to workers about their runs, by outcome." };
 inline constexpr metric_kind kAdviceCalls{ metric_type::kCounter,
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -1,8 +1,8 @@
 #include "briarwind/control_node.h"
 
-#include "caller_desk.h"
+#include "caller_service.h"
 #include "control_events.h"
-#include "detour_store.h"
+#include "relayed_store.h"
 #include "work_driver.h"
 
 #include "briarwind/http_server.h"
@@ -33,7 +33,7 @@
 constexpr std::string_view kWaitingPath = "/v1/waiting";
 constexpr std::string_view kStoredPath = "/v1/stored";
 // The leader's watch has found it by then.
-constexpr milliseconds kTellDeadline{ 1'000 };
+constexpr milliseconds kNotifyDeadline{ 1'000 };
 
 http_response Plain(unsigned aStatus, std::string aText)
 {
@@ -57,23 +57,23 @@
     , mStore(aRuntime, *aAdapters.mStore, aMetrics, [this] { return PeerAddresses(); })
     , mRegistry(aAdapters.mMakeRegistry(mStore))
     , mView(aRuntime, mStore, aMetrics, *aAdapters.mOperators)
-    , mIntake(mStore, aMetrics, [this](const stored_value& aValue) { TellLeader(aValue); })
-    , mDesk(mIntake, mView, aMetrics,
-            [this](const std::string& aQueue, instant aDeadline) {
-              return CountWaiting(aQueue, aDeadline);
-            })
+    , mIntake(mStore, aMetrics, [this](const stored_value& aValue) { NotifyLeader(aValue); })
+    , mCallerService(mIntake, mView, aMetrics,
+                     [this](const std::string& aQueue, instant aDeadline) {
+                       return CountWaiting(aQueue, aDeadline);
+                     })
     , mDriver(aRuntime, mStore, { aAdapters.mWorkers, aAdapters.mAdvisor, mRegistry.get() },
               aMetrics, aSettings.mWork)
     , mLead(aRuntime, mStore, aMetrics, aSettings.mName, ToString(aSettings.mPeers),
             aSettings.mProcessorShare,
-            { [this](std::int64_t /*aEpoch*/) { Gained(); }, [this] { mDriver.Abdicate(); } })
+            { [this](std::int64_t /*aEpoch*/) { Gained(); }, [this] { mDriver.StepDown(); } })
     , mPeerPool(aRuntime)
     , mPeers(aRuntime, aSettings.mPeers,
              [this](const http_request& aRequest) { return AnswerPeer(aRequest); })
     , mReadiness(aRuntime, aSettings.mReadiness,
                  [this](const http_request&) { return Plain(IsReady() ? 200 : 503, {}); })
     , mCallers(aRuntime, aSettings.mCallers, [this](const http_request& aRequest) {
-      return mAdapters.mAnswerCaller(mDesk, aRequest);
+      return mAdapters.mAnswerCaller(mCallerService, aRequest);
     })
   {
     mView.OnChange([this] {
@@ -116,7 +116,7 @@
 
   void Gained()
   {
-    mRuntime.Spawn([this] { mDriver.Reign(mLead, [this] { mLead.Deposed(); }); });
+    mRuntime.Spawn([this] { mDriver.RunTerm(mLead, [this] { mLead.LoseLead(); }); });
   }
 
   std::vector<std::string> PeerAddresses() const
@@ -157,10 +157,10 @@
   }
 
   // Best effort: the leader's own watch finds whatever does not arrive.
-  void TellLeader(const stored_value& aValue)
+  void NotifyLeader(const stored_value& aValue)
   {
     if (mDriver.IsActing()) {
-      mDriver.Told(aValue);
+      mDriver.NotifyStored(aValue);
       return;
     }
     const auto leader = Settle([&] { return ParseEndpoint(mLead.LeaderAddress()); });
@@ -173,12 +173,12 @@
       request.mTarget = std::string(kStoredPath);
       request.mBody =
         json::serialize(json::object{ { "key", aValue.mKey }, { "value", aValue.mValue } });
-      const auto answer = mPeerPool.Call(peer, request, monotonic_clock::now() + kTellDeadline);
-      mMetrics.Count(kPeerCalls, answer ? "told" : ToString(answer.error().mKind));
+      const auto answer = mPeerPool.Call(peer, request, monotonic_clock::now() + kNotifyDeadline);
+      mMetrics.Count(kPeerCalls, answer ? "notified" : ToString(answer.error().mKind));
     });
   }
 
-  http_response AnswerTold(const std::string& aBody)
+  http_response AnswerNotification(const std::string& aBody)
   {
     const auto body = Settle([&] { return ParseJsonObject(aBody); });
     if (!body) {
@@ -187,7 +187,7 @@
     stored_value told;
     told.mKey = TextField(body.value(), "key");
     told.mValue = TextField(body.value(), "value");
-    mDriver.Told(told);
+    mDriver.NotifyStored(told);
     return Plain(200, {});
   }
 
@@ -204,7 +204,7 @@
                : Plain(503, "not leading");
     }
     if (path == kStoredPath) {
-      return AnswerTold(aRequest.mBody);
+      return AnswerNotification(aRequest.mBody);
     }
     if (path == "/metrics") {
       return Plain(200, mMetrics.Render());
@@ -239,11 +239,11 @@
   control_adapters mAdapters;
   bool mStopping = false;
   bool mWasReady = false;
-  detour_store mStore;
+  relayed_store mStore;
   std::unique_ptr<worker_registry> mRegistry;
   settings_view mView;
   job_intake mIntake;
-  caller_desk mDesk;
+  caller_service mCallerService;
   work_driver mDriver;
   leadership mLead;
   http_pool mPeerPool;
--- a/src/libcontrol/job_intake.h
+++ b/src/libcontrol/job_intake.h
@@ -31,7 +31,7 @@
 class job_intake
 {
 public:
-  /// Told of each key that was stored, with its value; for whoever leads. Must not suspend.
+  /// NotifyStored of each key that was stored, with its value; for whoever leads. Must not suspend.
   using stored_observer = std::function<void(const stored_value&)>;
 
   job_intake(record_store& aStore, metrics& aMetrics, stored_observer aObserver = {});
--- a/src/libcontrol/leadership.cpp
+++ b/src/libcontrol/leadership.cpp
@@ -27,7 +27,7 @@
 constexpr milliseconds kOrderMargin{ 50 };
 // The weakest host waits this much longer than a whole core before it tries to lead.
 constexpr milliseconds kWeakestWait{ 160 };
-constexpr milliseconds kCampaignPause{ 120 };
+constexpr milliseconds kElectionPause{ 120 };
 constexpr milliseconds kCallDeadline{ 800 };
 
 std::string MakeIdentity(const std::string& aName)
@@ -62,7 +62,7 @@
 {
   mRuntime.Spawn([this] { mFollower.Run(); });
   mRuntime.Spawn([this] { Announce(); });
-  mRuntime.Spawn([this] { Campaign(); });
+  mRuntime.Spawn([this] { RunElection(); });
 }
 
 void leadership::Resign()
@@ -72,7 +72,7 @@
     return;
   }
   const store_lease lease = mLease;
-  Deposed();
+  LoseLead();
   const auto ended = mStore.End(lease, monotonic_clock::now() + kCallDeadline);
   if (!ended) {
     LogEvent(kLeadNotHandedOver, { Field("error", ToString(ended.error().mKind)) });
@@ -89,7 +89,7 @@
   return { std::string(kLeaderKey), mEpoch };
 }
 
-void leadership::Deposed()
+void leadership::LoseLead()
 {
   if (Leads()) {
     LogEvent(kLeadLost, { Field("epoch", mEpoch) });
@@ -137,7 +137,7 @@
     mLeader = aDeleted ? std::nullopt : std::optional(aValue);
     const bool another = mLeader && mLeader->mModified != mEpoch;
     if (Leads() && aValue.mModified > mEpoch && (aDeleted || another)) {
-      Deposed();
+      LoseLead();
     }
     return;
   }
@@ -151,11 +151,11 @@
   }
 }
 
-void leadership::Campaign()
+void leadership::RunElection()
 {
   std::mt19937_64 random(std::random_device{}());
   while (true) {
-    SleepFor(kCampaignPause / 2 + milliseconds(random() % kCampaignPause.count()) / 2);
+    SleepFor(kElectionPause / 2 + milliseconds(random() % kElectionPause.count()) / 2);
     if (mResigned || Leads() || !mViewKnown || mLeader) {
       continue;
     }
@@ -226,7 +226,7 @@
         std::max(mValidUntil,
                  asked + std::chrono::duration_cast<milliseconds>(renewed.value() * kClockDrift));
     } else if (renewed.error().mKind == error_kind::kNotFound) {
-      Deposed();
+      LoseLead();
       return;
     }
     if (std::exchange(confirmed, renewed.has_value()) != renewed.has_value()) {
--- a/src/libcontrol/leadership.h
+++ b/src/libcontrol/leadership.h
@@ -37,7 +37,7 @@
   /// For conditions of transactions: true only while the key is as this leader wrote it.
   store_condition Condition() const;
   /// Another host leads; told by the store's answer to a transaction.
-  void Deposed();
+  void LoseLead();
 
   /// Where the leader answers its peers; empty when nobody is known to lead.
   std::string LeaderAddress() const;
@@ -49,7 +49,7 @@
 
 private:
   void Follow();
-  void Campaign();
+  void RunElection();
   void RenewLoop(std::int64_t aEpoch);
   void Announce();
   void Listed(const store_listing& aListing);
--- a/src/libcontrol/detour_store.cpp
+++ b/src/libcontrol/relayed_store.cpp
@@ -1,4 +1,4 @@
-#include "detour_store.h"
+#include "relayed_store.h"
 
 #include "control_events.h"
 
@@ -10,7 +10,7 @@
 namespace {
 
 // Calls in a row that have to fail before a peer is asked: one failure is often a lost answer.
-constexpr int kFailuresBeforeDetour = 2;
+constexpr int kFailuresBeforeRelay = 2;
 // A call that stays without an answer for this long counts for all of them: a slow store answers
 // within 300 ms, and every further silent call takes its caller's time.
 constexpr milliseconds kSilence{ 350 };
@@ -36,8 +36,8 @@
 
 } // namespace
 
-detour_store::detour_store(fiber_runtime& aRuntime, record_store& aDirect, metrics& aMetrics,
-                           peer_list aPeers)
+relayed_store::relayed_store(fiber_runtime& aRuntime, record_store& aDirect, metrics& aMetrics,
+                             peer_list aPeers)
   : mRuntime(aRuntime)
   , mDirect(aDirect)
   , mMetrics(aMetrics)
@@ -48,7 +48,7 @@
 }
 
 // A host that is turned away itself says so at once; it asks nobody on behalf of others.
-http_response detour_store::Serve(std::string_view aName, std::string_view aBody)
+http_response relayed_store::Serve(std::string_view aName, std::string_view aBody)
 {
   if (!IsDirect()) {
     return JsonResponse(503,
@@ -58,14 +58,14 @@
 }
 
 // The views of settings and hosts go on asking, so this turns true again by itself.
-bool detour_store::IsReachable() const
+bool relayed_store::IsReachable() const
 {
   return mFailuresInRow < kFailuresBeforeAway;
 }
 
 template<class Value, class Direct, class Read>
-io_result<Value> detour_store::Route(const Direct& aDirect, const store_relay::call& aCall,
-                                     Read aRead, instant aDeadline)
+io_result<Value> relayed_store::Route(const Direct& aDirect, const store_relay::call& aCall,
+                                      Read aRead, instant aDeadline)
 {
   if (IsDirect()) {
     const instant begun = monotonic_clock::now();
@@ -79,28 +79,28 @@
   const auto sent = AskPeer(aCall, aDeadline);
   if (!sent) {
     ++mFailuresInRow;
-    LeavePeer(asked);
+    LeaveRelay(asked);
     return boost::outcome_v2::failure(sent.error());
   }
   io_result<Value> answer = aRead(sent.value());
   const bool reached = answer.has_value() || MeansReached(answer.error().mKind);
   mFailuresInRow = reached ? 0 : mFailuresInRow + 1;
-  mMetrics.Count(kStoreDetours, reached ? "answered" : ToString(answer.error().mKind));
+  mMetrics.Count(kStoreRelays, reached ? "answered" : ToString(answer.error().mKind));
   if (!reached) {
-    LeavePeer(asked);
+    LeaveRelay(asked);
   }
   return answer;
 }
 
-// A call may outlast the detour that it began on; it must not lead back onto it.
-void detour_store::LeavePeer(const std::string& aPeer)
+// A call may outlast the relay that it began on; it must not lead back onto it.
+void relayed_store::LeaveRelay(const std::string& aPeer)
 {
   if (mPeer == aPeer) {
     NextPeer();
   }
 }
 
-io_result<http_response> detour_store::AskPeer(const store_relay::call& aCall, instant aDeadline)
+io_result<http_response> relayed_store::AskPeer(const store_relay::call& aCall, instant aDeadline)
 {
   const auto peer = Settle([&] { return ParseEndpoint(mPeer); });
   if (!peer) {
@@ -114,28 +114,28 @@
   return mPool.Call(peer.value(), request, aDeadline);
 }
 
-void detour_store::NoteDirect(bool aWorked, bool aSilent)
+void relayed_store::NoteDirect(bool aWorked, bool aSilent)
 {
   if (aWorked) {
     mFailures = 0;
     mLastDirect = monotonic_clock::now();
     return;
   }
-  mFailures += aSilent ? kFailuresBeforeDetour : 1;
-  if (mFailures < kFailuresBeforeDetour || !IsDirect()) {
+  mFailures += aSilent ? kFailuresBeforeRelay : 1;
+  if (mFailures < kFailuresBeforeRelay || !IsDirect()) {
     return;
   }
   NextPeer();
   if (!IsDirect()) {
-    LogEvent(kStoreDetour, { Field("peer", mPeer), Field("failures", mFailures),
-                             Field("silent_ms", std::chrono::duration_cast<milliseconds>(
-                                                  monotonic_clock::now() - mLastDirect)
-                                                  .count()) });
+    LogEvent(kStoreRelayed, { Field("peer", mPeer), Field("failures", mFailures),
+                              Field("silent_ms", std::chrono::duration_cast<milliseconds>(
+                                                   monotonic_clock::now() - mLastDirect)
+                                                   .count()) });
     mRuntime.Spawn([this] { ProbeLoop(); });
   }
 }
 
-void detour_store::NextPeer()
+void relayed_store::NextPeer()
 {
   const std::vector<std::string> peers = mPeers();
   if (!peers.empty()) {
@@ -143,7 +143,7 @@
   }
 }
 
-void detour_store::ProbeLoop()
+void relayed_store::ProbeLoop()
 {
   while (!IsDirect()) {
     SleepFor(kProbeEvery);
@@ -157,14 +157,14 @@
   }
 }
 
-io_result<std::optional<stored_value>> detour_store::Get(std::string_view aKey, instant aDeadline)
+io_result<std::optional<stored_value>> relayed_store::Get(std::string_view aKey, instant aDeadline)
 {
   return Route<std::optional<stored_value>>([&] { return mDirect.Get(aKey, aDeadline); },
                                             store_relay::GetCall(aKey, TimeLeft(aDeadline)),
                                             store_relay::GetAnswer, aDeadline);
 }
 
-io_result<store_listing> detour_store::List(std::string_view aPrefix, instant aDeadline)
+io_result<store_listing> relayed_store::List(std::string_view aPrefix, instant aDeadline)
 {
   return Route<store_listing>([&] { return mDirect.List(aPrefix, aDeadline); },
                               store_relay::ListCall(aPrefix, TimeLeft(aDeadline)),
@@ -174,8 +174,8 @@
 // A watch that is cut says little of the store: its listing follows at once and tells more. Were
 // cut watches to count, a store that drops them all would send every host to peers that do the
 // same.
-io_result<watch_answer> detour_store::Watch(std::string_view aPrefix, store_revision aAfter,
-                                            milliseconds aWait)
+io_result<watch_answer> relayed_store::Watch(std::string_view aPrefix, store_revision aAfter,
+                                             milliseconds aWait)
 {
   if (IsDirect()) {
     return mDirect.Watch(aPrefix, aAfter, aWait);
@@ -186,22 +186,22 @@
                              monotonic_clock::now() + aWait + kWatchSlack);
 }
 
-io_result<transaction_result> detour_store::Commit(const store_transaction& aTransaction,
-                                                   instant aDeadline)
+io_result<transaction_result> relayed_store::Commit(const store_transaction& aTransaction,
+                                                    instant aDeadline)
 {
   return Route<transaction_result>([&] { return mDirect.Commit(aTransaction, aDeadline); },
                                    store_relay::CommitCall(aTransaction, TimeLeft(aDeadline)),
                                    store_relay::CommitAnswer, aDeadline);
 }
 
-io_result<granted_lease> detour_store::Grant(milliseconds aTimeToLive, instant aDeadline)
+io_result<granted_lease> relayed_store::Grant(milliseconds aTimeToLive, instant aDeadline)
 {
   return Route<granted_lease>([&] { return mDirect.Grant(aTimeToLive, aDeadline); },
                               store_relay::GrantCall(aTimeToLive, TimeLeft(aDeadline)),
                               store_relay::GrantAnswer, aDeadline);
 }
 
-io_result<milliseconds> detour_store::Renew(store_lease aLease, instant aDeadline)
+io_result<milliseconds> relayed_store::Renew(store_lease aLease, instant aDeadline)
 {
   const auto read = [](const http_response& aAnswer) -> io_result<milliseconds> {
     const auto lease = store_relay::GrantAnswer(aAnswer);
@@ -215,7 +215,7 @@
                              aDeadline);
 }
 
-io_result<void> detour_store::End(store_lease aLease, instant aDeadline)
+io_result<void> relayed_store::End(store_lease aLease, instant aDeadline)
 {
   const auto read = [](const http_response& aAnswer) -> io_result<void> {
     const auto lease = store_relay::GrantAnswer(aAnswer);
--- a/src/libcontrol/detour_store.h
+++ b/src/libcontrol/relayed_store.h
@@ -13,13 +13,14 @@
 
 /// The store as one host reaches it: directly, or through one peer while the store serves others
 /// and not this host. A peer carries a call one hop and never hands it on.
-class detour_store : public record_store
+class relayed_store : public record_store
 {
 public:
   /// Addresses of the other hosts, in the order in which they should be tried.
   using peer_list = std::function<std::vector<std::string>()>;
 
-  detour_store(fiber_runtime& aRuntime, record_store& aDirect, metrics& aMetrics, peer_list aPeers);
+  relayed_store(fiber_runtime& aRuntime, record_store& aDirect, metrics& aMetrics,
+                peer_list aPeers);
 
   /// Whether this host's own way to the store works, as far as is known.
   bool IsDirect() const { return mPeer.empty(); }
@@ -43,7 +44,7 @@
                          instant aDeadline);
   io_result<http_response> AskPeer(const store_relay::call& aCall, instant aDeadline);
   void NoteDirect(bool aWorked, bool aSilent);
-  void LeavePeer(const std::string& aPeer);
+  void LeaveRelay(const std::string& aPeer);
   void NextPeer();
   void ProbeLoop();
 
--- a/src/libcontrol/detour_store_test.cpp
+++ b/src/libcontrol/relayed_store_test.cpp
@@ -1,4 +1,4 @@
-#include "detour_store.h"
+#include "relayed_store.h"
 #include "testing/fake_record_store.h"
 
 #include "briarwind/http_server.h"
@@ -33,15 +33,15 @@
   fake_record_store atPeer;
   atPeer.Put("k", "from the peer");
   direct.Put("k", "direct");
-  detour_store peerStore(runtime, atPeer, counters, [] { return std::vector<std::string>(); });
+  relayed_store peerStore(runtime, atPeer, counters, [] { return std::vector<std::string>(); });
   milliseconds peerPause{ 0 };
   http_server peer(runtime, { "127.0.0.1", 0 }, [&](const http_request& aRequest) {
     SleepFor(peerPause);
     return peerStore.Serve(
       TargetPath(aRequest.mTarget).substr(std::string_view("/v1/store/").size()), aRequest.mBody);
   });
-  detour_store store(runtime, direct, counters,
-                     [&] { return std::vector{ ToString(peer.Listening()) }; });
+  relayed_store store(runtime, direct, counters,
+                      [&] { return std::vector{ ToString(peer.Listening()) }; });
   BW_EQUAL(std::string("direct"), store.Get("k", Soon()).value()->mValue);
 
   direct.SetDown(true);
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -16,7 +16,7 @@
 // A worker that is well answers within a few milliseconds; a start that stays unanswered holds up
 // its gang, whose other members wait at most a few seconds.
 constexpr milliseconds kOrderDeadline{ 600 };
-constexpr milliseconds kLookSlack{ 600 };
+constexpr milliseconds kPollSlack{ 600 };
 // An answer takes time for each worker named, behind the calls that came before.
 constexpr milliseconds kAdviceDeadline{ 2'000 };
 constexpr milliseconds kWriteRetry{ 60 };
@@ -54,8 +54,8 @@
       return kWorkWorkerRestored;
     case work_note_kind::kWorkerLost:
       return kWorkWorkerLost;
-    case work_note_kind::kWorkerDistrusted:
-      return kWorkWorkerDistrusted;
+    case work_note_kind::kWorkerQuarantined:
+      return kWorkWorkerQuarantined;
   }
   return kWorkLost;
 }
@@ -93,17 +93,17 @@
 {
 }
 
-void work_driver::Reign(const leadership& aLead, std::function<void()> aDeposed)
+void work_driver::RunTerm(const leadership& aLead, std::function<void()> aOnLeadLost)
 {
   const std::int64_t epoch = aLead.Epoch();
   mLead = &aLead;
-  mDeposed = std::move(aDeposed);
-  mCore.BeginReign(epoch, monotonic_clock::now());
+  mOnLeadLost = std::move(aOnLeadLost);
+  mCore.BeginTerm(epoch, monotonic_clock::now());
   store_revision listed = 0;
-  while (IsReign(epoch) && !TakeOver(epoch, listed)) {
+  while (IsTerm(epoch) && !TakeOver(epoch, listed)) {
     SleepFor(kWriteRetry);
   }
-  if (!IsReign(epoch)) {
+  if (!IsTerm(epoch)) {
     return;
   }
   mActing = true;
@@ -118,22 +118,22 @@
     mStore, mMetrics, std::string(work_keys::kAccepted),
     { [this](const store_listing& aListing) { Accepted(aListing); },
       [this](const std::vector<store_change>& aChanges) { AcceptedChanged(aChanges); },
-      [this, epoch] { return IsReign(epoch); } });
+      [this, epoch] { return IsTerm(epoch); } });
   follower.Run(listed);
 }
 
-void work_driver::Abdicate()
+void work_driver::StepDown()
 {
   mLead = nullptr;
   mActing = false;
-  mCore.EndReign();
+  mCore.EndTerm();
 }
 
-void work_driver::Deposed(std::string_view aReason)
+void work_driver::LoseLead(std::string_view aReason)
 {
   LogEvent(kLeadRefused, { Field("epoch", mCore.Epoch()), Field("reason", aReason) });
-  if (const auto deposed = mDeposed) {
-    deposed();
+  if (const auto onLost = mOnLeadLost) {
+    onLost();
   }
 }
 
@@ -160,11 +160,11 @@
              { Field("epoch", aEpoch), Field("what", accepted ? "registry" : "records") });
     return false;
   }
-  if (!IsReign(aEpoch)) {
+  if (!IsTerm(aEpoch)) {
     return false;
   }
   const instant now = monotonic_clock::now();
-  mCore.BeginReign(aEpoch, now);
+  mCore.BeginTerm(aEpoch, now);
   mCore.SetSettings(mSettings, now);
   std::map<std::string_view, const stored_value*> records;
   for (const stored_value& each : progress.value().mValues) {
@@ -209,7 +209,7 @@
   Pump();
 }
 
-void work_driver::Told(const stored_value& aValue)
+void work_driver::NotifyStored(const stored_value& aValue)
 {
   if (mActing && aValue.mKey.starts_with(work_keys::kAccepted)) {
     AddAccepted(aValue);
@@ -240,10 +240,10 @@
 void work_driver::PollWorkers(std::int64_t aEpoch)
 {
   bool reached = true;
-  while (IsReign(aEpoch)) {
+  while (IsTerm(aEpoch)) {
     SleepFor(kRegistryPoll);
     const auto workers = mRegistry.Read(monotonic_clock::now() + kStoreDeadline);
-    if (!IsReign(aEpoch)) {
+    if (!IsTerm(aEpoch)) {
       return;
     }
     if (workers) {
@@ -260,10 +260,10 @@
 void work_driver::TickLoop(std::int64_t aEpoch)
 {
   instant forgetAt = monotonic_clock::now() + kForgetEvery;
-  while (IsReign(aEpoch)) {
+  while (IsTerm(aEpoch)) {
     SleepFor(kTick);
     PumpNow();
-    if (IsReign(aEpoch) && monotonic_clock::now() >= forgetAt) {
+    if (IsTerm(aEpoch) && monotonic_clock::now() >= forgetAt) {
       forgetAt = monotonic_clock::now() + kForgetEvery;
       ForgetOld();
     }
@@ -295,7 +295,7 @@
   std::ranges::for_each(mCore.TakeActions(),
                         [this](work_action& aAction) { Perform(std::move(aAction)); });
   StartWrites();
-  StartLooks();
+  StartPolls();
 }
 
 void work_driver::Perform(work_action aAction)
@@ -333,12 +333,12 @@
       mGateway.Start(mCore.Address(aOrder.mWorker), aOrder, epoch, until, sent + kOrderDeadline);
   }
   mMetrics.Count(kWorkOrders, ToString(outcome));
-  if (!IsReign(epoch)) {
+  if (!IsTerm(epoch)) {
     return;
   }
   mCore.OnStarted(aOrder, outcome, sent, monotonic_clock::now());
   if (outcome == start_outcome::kFenced) {
-    Deposed("a worker obeys a newer leader");
+    LoseLead("a worker obeys a newer leader");
   }
 }
 
@@ -360,7 +360,7 @@
         mMetrics.Count(kAdviceCalls, answer ? "answered" : ToString(answer.error().mKind));
         advice = answer ? std::optional(answer.value()) : std::nullopt;
       }
-      if (IsReign(epoch)) {
+      if (IsTerm(epoch)) {
         mCore.OnAdvice(question, advice, monotonic_clock::now());
         Pump();
       }
@@ -376,12 +376,12 @@
   const stop_outcome outcome =
     mGateway.Stop(mCore.Address(aOrder.mWorker), aOrder, epoch, sent + kOrderDeadline);
   mMetrics.Count(kWorkStops, outcome == stop_outcome::kStopping ? "stopping" : "failed");
-  if (!IsReign(epoch)) {
+  if (!IsTerm(epoch)) {
     return;
   }
   mCore.OnStopped(aOrder, outcome, sent, monotonic_clock::now());
   if (outcome == stop_outcome::kFenced) {
-    Deposed("a worker obeys a newer leader");
+    LoseLead("a worker obeys a newer leader");
   }
 }
 
@@ -394,40 +394,40 @@
              Field("epoch", mCore.Epoch()), Field("settings", mSettings.mVersion) });
 }
 
-void work_driver::StartLooks()
+void work_driver::StartPolls()
 {
   const instant now = monotonic_clock::now();
   for (const std::string& worker : mCore.Workers()) {
-    if (mLooking.contains(worker)) {
+    if (mPolling.contains(worker)) {
       continue;
     }
-    if (auto plan = mCore.PlanLook(worker, now)) {
+    if (auto plan = mCore.PlanPoll(worker, now)) {
       if (!mLead->MayOrder()) {
         plan->mLeaseUntil = milliseconds{ 0 };
       }
-      mLooking.insert(worker);
-      mRuntime.Spawn([this, worker, plan = *plan] { RunLook(worker, plan); });
+      mPolling.insert(worker);
+      mRuntime.Spawn([this, worker, plan = *plan] { RunPoll(worker, plan); });
     }
   }
 }
 
-void work_driver::RunLook(const std::string& aWorker, const look_plan& aPlan)
+void work_driver::RunPoll(const std::string& aWorker, const poll_plan& aPlan)
 {
   const std::int64_t epoch = mCore.Epoch();
   const instant sent = monotonic_clock::now();
-  const auto report = mGateway.Look(aWorker, aPlan, epoch, sent + aPlan.mWait + kLookSlack);
-  mLooking.erase(aWorker);
-  mMetrics.Count(kWorkLooks, report ? "answered" : ToString(report.error().mKind));
-  if (!IsReign(epoch)) {
+  const auto report = mGateway.Poll(aWorker, aPlan, epoch, sent + aPlan.mWait + kPollSlack);
+  mPolling.erase(aWorker);
+  mMetrics.Count(kWorkPolls, report ? "answered" : ToString(report.error().mKind));
+  if (!IsTerm(epoch)) {
     return;
   }
   if (report) {
     mCore.OnReport(aWorker, report.value(), sent, monotonic_clock::now());
   } else if (report.error().mKind == error_kind::kConflict) {
-    Deposed("a worker obeys a newer leader");
+    LoseLead("a worker obeys a newer leader");
     return;
   } else {
-    mCore.OnSilence(aWorker, monotonic_clock::now());
+    mCore.OnPollFailed(aWorker, monotonic_clock::now());
   }
   Pump();
 }
@@ -452,7 +452,7 @@
 void work_driver::RunWrite(const std::vector<progress_write>& aWrites)
 {
   const std::int64_t epoch = mCore.Epoch();
-  if (!IsReign(epoch)) {
+  if (!IsTerm(epoch)) {
     return;
   }
   store_transaction transaction;
@@ -461,10 +461,10 @@
     transaction.mConditions.push_back({ work_keys::Progress(each.mJob), each.mExpected });
     transaction.mWrites.push_back({ work_keys::Progress(each.mJob), each.mValue, 0 });
   }
-  while (IsReign(epoch)) {
+  while (IsTerm(epoch)) {
     const instant sent = monotonic_clock::now();
     const auto done = mStore.Commit(transaction, sent + kStoreDeadline);
-    if (!IsReign(epoch)) {
+    if (!IsTerm(epoch)) {
       return;
     }
     if (done) {
@@ -493,7 +493,7 @@
   };
   const stored_value* leader = current(std::string(leadership::kLeaderKey));
   if (leader == nullptr || leader->mModified != mCore.Epoch()) {
-    Deposed("the store names another leader");
+    LoseLead("the store names another leader");
     return false;
   }
   for (const progress_write& each : aWrites) {
@@ -516,7 +516,7 @@
                          work_keys::Progress(job) };
     const auto done = mStore.Commit(removal, monotonic_clock::now() + kStoreDeadline);
     LogEvent(kWorkForgotten, { Field("job", job), Field("removed", done.has_value()) });
-    if (!IsReign(mCore.Epoch())) {
+    if (!IsTerm(mCore.Epoch())) {
       return;
     }
   }
--- a/src/libcontrol/work_driver.h
+++ b/src/libcontrol/work_driver.h
@@ -38,15 +38,15 @@
   work_driver(fiber_runtime& aRuntime, record_store& aStore, const outside& aOutside,
               metrics& aMetrics, const work_options& aOptions);
 
-  /// Runs in a fiber of its own until the reign is over.
-  void Reign(const leadership& aLead, std::function<void()> aDeposed);
-  void Abdicate();
-  /// No new decision and no order that has not left yet; for the last moments of a reign.
+  /// Runs in a fiber of its own until the term is over.
+  void RunTerm(const leadership& aLead, std::function<void()> aOnLeadLost);
+  void StepDown();
+  /// No new decision and no order that has not left yet; for the last moments of a term.
   void Pause() { mPaused = true; }
   void SetSettings(const work_settings& aSettings);
-  /// A host has stored this accepted job or cancellation. Told beside the watch, which may be deaf
-  /// for seconds.
-  void Told(const stored_value& aValue);
+  /// A host has stored this accepted job or cancellation. NotifyStored beside the watch, which may
+  /// be deaf for seconds.
+  void NotifyStored(const stored_value& aValue);
 
   bool IsActing() const { return mActing; }
   int CountWaiting(const std::string& aQueue) const { return mCore.CountWaiting(aQueue); }
@@ -67,14 +67,14 @@
   void PerformStop(const stop_run& aOrder);
   void AskNext();
   void LogNote(const work_note& aNote);
-  void StartLooks();
-  void RunLook(const std::string& aWorker, const look_plan& aPlan);
+  void StartPolls();
+  void RunPoll(const std::string& aWorker, const poll_plan& aPlan);
   void StartWrites();
   void RunWrite(const std::vector<progress_write>& aWrites);
   bool SettleWrite(const std::vector<progress_write>& aWrites, const transaction_result& aResult);
   void ForgetOld();
-  void Deposed(std::string_view aReason);
-  bool IsReign(std::int64_t aEpoch) const { return mLead != nullptr && mCore.Epoch() == aEpoch; }
+  void LoseLead(std::string_view aReason);
+  bool IsTerm(std::int64_t aEpoch) const { return mLead != nullptr && mCore.Epoch() == aEpoch; }
 
   fiber_runtime& mRuntime;
   record_store& mStore;
@@ -85,11 +85,11 @@
   work_core mCore;
   work_settings mSettings;
   const leadership* mLead = nullptr;
-  std::function<void()> mDeposed;
+  std::function<void()> mOnLeadLost;
   bool mActing = false;
   bool mPaused = false;
   bool mPumpPending = false;
-  std::set<std::string> mLooking;
+  std::set<std::string> mPolling;
   std::deque<ask_advice> mQuestions;
   bool mAsking = false;
   int mOrders = 0;
--- a/src/libwork/testing/fleet_simulation.cpp
+++ b/src/libwork/testing/fleet_simulation.cpp
@@ -13,8 +13,8 @@
 constexpr milliseconds kStopTakes{ 120 };
 constexpr milliseconds kMaxHold{ 10'000 };
 constexpr milliseconds kGangTimeout{ 3'000 };
-constexpr milliseconds kLookEvery{ 100 };
-// A leader that was deposed notices within its lease.
+constexpr milliseconds kPollEvery{ 100 };
+// A leader that lost the lead notices within its lease.
 constexpr milliseconds kZombieTime{ 400 };
 constexpr milliseconds kLatest{ 12'000 };
 
@@ -74,7 +74,7 @@
   return stop_outcome::kStopping;
 }
 
-std::optional<worker_report> simulated_worker::Look(const look_plan& aPlan, std::int64_t aEpoch,
+std::optional<worker_report> simulated_worker::Poll(const poll_plan& aPlan, std::int64_t aEpoch,
                                                     instant aNow)
 {
   if (aEpoch < mFence) {
@@ -207,7 +207,7 @@
   auto next = std::make_unique<leader>();
   next->mEpoch = ++mRevision;
   next->mCore = std::make_unique<work_core>(mOptions);
-  next->mCore->BeginReign(next->mEpoch, mNow);
+  next->mCore->BeginTerm(next->mEpoch, mNow);
   next->mCore->SetSettings(mSettings, mNow);
   for (const auto& [id, job] : mJobs) {
     stored_job stored{ job, mCancelled.contains(id), {}, 0 };
@@ -295,7 +295,7 @@
   if (&aLeader == mLeader) {
     core.SetWorkers(Registry(), mNow);
   }
-  Look(aLeader);
+  Poll(aLeader);
   core.Decide(mNow, WallAt(mNow));
   for (const work_action& action : core.TakeActions()) {
     if (const auto* start = std::get_if<start_run>(&action)) {
@@ -450,26 +450,26 @@
   }
 }
 
-void fleet_simulation::Look(leader& aLeader)
+void fleet_simulation::Poll(leader& aLeader)
 {
   work_core& core = *aLeader.mCore;
   for (const std::string& id : core.Workers()) {
     const std::size_t index = IndexOf(id);
-    instant& next = aLeader.mNextLook[id];
+    instant& next = aLeader.mNextPoll[id];
     if (next > mNow || index >= mWorkers.size()) {
       continue;
     }
-    const auto plan = core.PlanLook(id, mNow);
+    const auto plan = core.PlanPoll(id, mNow);
     if (!plan) {
       continue;
     }
-    next = mNow + kLookEvery;
-    if (mCut.contains(index) || Chance(mFaults.mLostLook)) {
-      core.OnSilence(id, mNow);
+    next = mNow + kPollEvery;
+    if (mCut.contains(index) || Chance(mFaults.mLostPoll)) {
+      core.OnPollFailed(id, mNow);
       continue;
     }
     NoteAcknowledged(*mWorkers[index], plan->mAcknowledged);
-    const auto report = mWorkers[index]->Look(*plan, aLeader.mEpoch, mNow);
+    const auto report = mWorkers[index]->Poll(*plan, aLeader.mEpoch, mNow);
     if (report) {
       core.OnReport(id, *report, mNow, mNow);
     }
--- a/src/libwork/testing/fleet_simulation.h
+++ b/src/libwork/testing/fleet_simulation.h
@@ -25,9 +25,9 @@
                       milliseconds aWork, instant aNow);
   stop_outcome Stop(const run_id& aRun, std::int64_t aEpoch, instant aNow);
   /// Nothing when a newer leader has asked before.
-  std::optional<worker_report> Look(const look_plan& aPlan, std::int64_t aEpoch, instant aNow);
+  std::optional<worker_report> Poll(const poll_plan& aPlan, std::int64_t aEpoch, instant aNow);
   void Advance(instant aNow);
-  /// Loses everything and starts a new life.
+  /// Loses everything and starts a new incarnation.
   void Crash(instant aNow);
 
   struct live_run
@@ -67,7 +67,7 @@
 {
   double mLostAnswer = 0; ///< of an order that was carried out
   double mLateOrder = 0;  ///< no answer; carried out seconds later
-  double mLostLook = 0;
+  double mLostPoll = 0;
   milliseconds mWriteTime{ 5 };
 };
 
@@ -111,7 +111,7 @@
     std::unique_ptr<work_core> mCore;
     std::int64_t mEpoch = 0;
     instant mLostLead; ///< instant() while it leads
-    std::map<std::string, instant> mNextLook;
+    std::map<std::string, instant> mNextPoll;
   };
   struct late_order
   {
@@ -140,7 +140,7 @@
   start_outcome Deliver(std::size_t aWorker, const start_run& aOrder, std::int64_t aEpoch,
                         milliseconds aUntil);
   void Advise(work_core& aCore, const ask_advice& aQuestion);
-  void Look(leader& aLeader);
+  void Poll(leader& aLeader);
   void CommitDue();
   void CheckStart(const start_run& aOrder, std::size_t aWorker);
   void NoteAcknowledged(const simulated_worker& aWorker, std::int64_t aThrough);
--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -12,10 +12,10 @@
 namespace {
 
 // Ends that wait for the store keep a worker's answer from waiting, so it is not asked in a loop.
-constexpr milliseconds kLookWhilePending{ 300 };
+constexpr milliseconds kPollWhilePending{ 300 };
 // A worker that did not answer is asked again after this.
-constexpr milliseconds kLookAfterSilence{ 150 };
-// Without a change everything is planned again after this, since waits for locality and distrust
+constexpr milliseconds kPollRetry{ 150 };
+// Without a change everything is planned again after this, since waits for locality and quarantine
 // run out by time alone.
 constexpr milliseconds kReplanEvery{ 250 };
 
@@ -28,16 +28,16 @@
 
 work_core::~work_core() = default;
 
-void work_core::BeginReign(std::int64_t aEpoch, instant aNow)
+void work_core::BeginTerm(std::int64_t aEpoch, instant aNow)
 {
   *mState = state(mState->mOptions);
   mState->mEpoch = aEpoch;
-  mState->mReigning = true;
-  mState->mReignSince = aNow;
+  mState->mInTerm = true;
+  mState->mTermSince = aNow;
   mState->mReplan = true;
 }
 
-void work_core::EndReign()
+void work_core::EndTerm()
 {
   *mState = state(mState->mOptions);
 }
@@ -69,7 +69,7 @@
       continue;
     }
     if (newLife || (isNew && worker.mInfo.mIncarnation != each.mIncarnation)) {
-      mState->NewLife(worker, each.mIncarnation, aNow);
+      mState->NewIncarnation(worker, each.mIncarnation, aNow);
     }
     const bool newer = isNew || newLife || each.mClock > worker.mInfo.mClock;
     const milliseconds clock = newer ? each.mClock : worker.mInfo.mClock;
@@ -156,12 +156,12 @@
                          aOutcome == start_outcome::kHeldBack ||
                          aOutcome == start_outcome::kNoTicket;
   if (!blameless) {
-    mState->Distrust(worker->second, aNow, ToString(aOutcome));
+    mState->Quarantine(worker->second, aNow, ToString(aOutcome));
   }
   mState->DropRun(worker->second, id);
   const task_entry* task = mState->FindTask(id.mTask);
   if (task != nullptr && task->mPhase == task_phase::kLive && task->mRun == id.mRun) {
-    mState->TaskBack(id, {}, aNow);
+    mState->RequeueTask(id, {}, aNow);
   }
 }
 
@@ -178,8 +178,8 @@
   }
   run_entry& run = found->second;
   run.mStopUnderWay = false;
-  if (aOutcome == stop_outcome::kOtherLife) {
-    mState->RunGone(worker->second, aOrder.mRun, "worker started anew", aNow);
+  if (aOutcome == stop_outcome::kOtherIncarnation) {
+    mState->RunLost(worker->second, aOrder.mRun, "worker started anew", aNow);
   } else if (aOutcome == stop_outcome::kStopping) {
     run.mStopAnswered = true;
     run.mStopAnsweredAt = aNow;
@@ -190,7 +190,7 @@
                          instant aNow)
 {
   const auto found = mState->mWorkers.find(aWorker);
-  if (found == mState->mWorkers.end() || !mState->mReigning) {
+  if (found == mState->mWorkers.end() || !mState->mInTerm) {
     return;
   }
   worker_entry& worker = found->second;
@@ -198,13 +198,13 @@
     return;
   }
   if (aReport.mIncarnation > worker.mInfo.mIncarnation) {
-    mState->NewLife(worker, aReport.mIncarnation, aNow);
+    mState->NewIncarnation(worker, aReport.mIncarnation, aNow);
   }
   worker.mInfo.mClock = aReport.mClock;
   worker.mClockAt = aNow;
   worker.mLastHeard = aNow;
   const bool restored = !std::exchange(worker.mInTouch, true);
-  mState->TakeReport(worker, aReport, aSent, aNow);
+  mState->ApplyReport(worker, aReport, aSent, aNow);
   if (restored) {
     mState->mReplan = true;
     mState->Note(work_note_kind::kWorkerRestored, {}, {}, aWorker,
@@ -212,7 +212,7 @@
   }
 }
 
-void work_core::OnSilence(const std::string& aWorker, instant aNow)
+void work_core::OnPollFailed(const std::string& aWorker, instant aNow)
 {
   const auto found = mState->mWorkers.find(aWorker);
   if (found != mState->mWorkers.end()) {
@@ -223,7 +223,7 @@
 
 void work_core::Decide(instant aNow, wall_time aWallNow)
 {
-  if (!mState->mReigning) {
+  if (!mState->mInTerm) {
     return;
   }
   for (auto& [id, job] : mState->mJobs) {
@@ -300,42 +300,42 @@
   return forgotten;
 }
 
-std::optional<look_plan> work_core::PlanLook(const std::string& aWorker, instant aNow)
+std::optional<poll_plan> work_core::PlanPoll(const std::string& aWorker, instant aNow)
 {
   const auto found = mState->mWorkers.find(aWorker);
-  if (found == mState->mWorkers.end() || !mState->mReigning) {
+  if (found == mState->mWorkers.end() || !mState->mInTerm) {
     return std::nullopt;
   }
   worker_entry& worker = found->second;
   const bool ordered = std::ranges::any_of(
     worker.mRuns, [](const auto& aRun) { return aRun.second.mPhase != run_phase::kRecording; });
   const bool contact = !worker.mInTouch && (worker.mListed || ordered);
-  const bool wanted = contact || ordered || worker.mAckDue || !worker.mForeign.empty();
+  const bool wanted = contact || ordered || worker.mAckDue || !worker.mOrphans.empty();
   if (worker.mInfo.mAddress.empty() || !wanted) {
     return std::nullopt;
   }
-  const instant last = std::max(worker.mLastLook, worker.mLastHeard);
-  const bool again = !worker.mInTouch || !worker.mForeign.empty();
-  const milliseconds pause = again                          ? kLookAfterSilence
-                             : !worker.mPendingEnds.empty() ? kLookWhilePending
+  const instant last = std::max(worker.mLastPoll, worker.mLastHeard);
+  const bool again = !worker.mInTouch || !worker.mOrphans.empty();
+  const milliseconds pause = again                          ? kPollRetry
+                             : !worker.mPendingEnds.empty() ? kPollWhilePending
                                                             : milliseconds{ 0 };
-  if (aNow < last + pause && worker.mLastLook != instant()) {
+  if (aNow < last + pause && worker.mLastPoll != instant()) {
     return std::nullopt;
   }
-  look_plan plan;
+  poll_plan plan;
   plan.mAddress = worker.mInfo.mAddress;
   plan.mIncarnation = worker.mInfo.mIncarnation;
   plan.mAcknowledged = worker.mAcknowledged;
   const bool unclear = std::ranges::any_of(
     worker.mRuns, [](const auto& aRun) { return aRun.second.mPhase == run_phase::kUnclear; });
-  const bool mayWait = worker.mInTouch && worker.mForeign.empty() && !unclear;
-  plan.mWait = mayWait ? mState->mOptions.mLookWait : milliseconds{ 0 };
+  const bool mayWait = worker.mInTouch && worker.mOrphans.empty() && !unclear;
+  plan.mWait = mayWait ? mState->mOptions.mPollWait : milliseconds{ 0 };
   // A silent worker gets no longer lease: its tasks could never be taken for lost.
   if (worker.mInTouch && ordered) {
     plan.mLeaseUntil = GrantLease(aWorker, aNow);
   }
   worker.mAckDue = false;
-  worker.mLastLook = aNow;
+  worker.mLastPoll = aNow;
   return plan;
 }
 
--- a/src/libwork/work_core_property_test.cpp
+++ b/src/libwork/work_core_property_test.cpp
@@ -69,7 +69,7 @@
     case 7:
       aFleet.mFaults.mLostAnswer = 0.2;
       aFleet.mFaults.mLateOrder = 0.1;
-      aFleet.mFaults.mLostLook = 0.2;
+      aFleet.mFaults.mLostPoll = 0.2;
       return;
     case 8:
       aFleet.mFaults.mWriteTime = milliseconds(1'500);
@@ -125,8 +125,8 @@
   }
   BW_SECTION("nor on days that failed once")
   {
-    // 350784940: a start had reached a worker's next life, which the next leader took for empty.
-    // The others failed on the way to the same mend.
+    // 350784940: a start had reached a worker's next incarnation, which the next leader took for
+    // empty. The others failed on the way to the same mend.
     constexpr std::array<std::uint64_t, 5> kFailedOnce{ 350'784'940, 94'971, 13'878'608'620'953,
                                                         123, 38'897 };
     for (const std::uint64_t seed : kFailedOnce) {
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -144,8 +144,8 @@
   worker_entry& worker = mWorkers[aWorker];
   if (worker.mInfo.mId.empty()) {
     worker.mInfo.mId = aWorker;
-    worker.mLeaseSurelyOver = mReignSince + std::chrono::duration_cast<milliseconds>(
-                                              mOptions.mMaxHold * mOptions.mClockSlack);
+    worker.mLeaseSurelyOver = mTermSince + std::chrono::duration_cast<milliseconds>(
+                                             mOptions.mMaxHold * mOptions.mClockSlack);
   }
   const work_step& step = aJob.mSpec.mSteps[static_cast<std::size_t>(aRun.mTask.mStep)];
   run_entry run;
--- a/src/libwork/work_names.cpp
+++ b/src/libwork/work_names.cpp
@@ -48,8 +48,8 @@
 std::string_view ToString(start_outcome aOutcome)
 {
   static constexpr std::array<std::string_view, 10> kNames{
-    "started", "fenced",  "old-run",    "late",    "no-ticket",
-    "no-room", "refused", "other-life", "unknown", "held-back",
+    "started", "fenced",  "old-run",           "late",    "no-ticket",
+    "no-room", "refused", "other-incarnation", "unknown", "held-back",
   };
   return NameAt(kNames, aOutcome);
 }
@@ -57,8 +57,17 @@
 std::string_view ToString(work_note_kind aKind)
 {
   static constexpr std::array<std::string_view, 11> kNames{
-    "job-known", "started",  "start-failed",    "ended",       "evicted",           "stopped",
-    "lost",      "job-over", "worker-restored", "worker-lost", "worker-distrusted",
+    "job-known",
+    "started",
+    "start-failed",
+    "ended",
+    "evicted",
+    "stopped",
+    "lost",
+    "job-over",
+    "worker-restored",
+    "worker-lost",
+    "worker-quarantined",
   };
   return NameAt(kNames, aKind);
 }
--- a/src/libwork/work_reports.cpp
+++ b/src/libwork/work_reports.cpp
@@ -36,9 +36,11 @@
 
 } // namespace
 
-// A worker that has started anew holds nothing of its former life. Which life an order reached is
-// not known, though: the registry tells of a new one late. So the worker's own list decides.
-void work_core::state::NewLife(worker_entry& aWorker, std::int64_t aIncarnation, instant aNow)
+// A worker that has started anew holds nothing of its former incarnation. Which life an order
+// reached is not known, though: the registry tells of a new one late. So the worker's own list
+// decides.
+void work_core::state::NewIncarnation(worker_entry& aWorker, std::int64_t aIncarnation,
+                                      instant aNow)
 {
   aWorker.mInfo.mIncarnation = aIncarnation;
   aWorker.mPendingEnds.clear();
@@ -46,7 +48,7 @@
   aWorker.mSeenEnds = 0;
   aWorker.mAckDue = false;
   aWorker.mInTouch = false;
-  aWorker.mForeign.clear();
+  aWorker.mOrphans.clear();
   for (auto& [id, run] : aWorker.mRuns) {
     if (run.mPhase == run_phase::kRunning) {
       run.mPhase = run_phase::kRestored;
@@ -57,8 +59,8 @@
 
 // Takes over what a worker says of a run that it lists; the reason why the run has to be stopped,
 // or nothing.
-std::string_view work_core::state::TakeListed(const run_id& aId, run_entry& aRun,
-                                              const listed_run& aListed, instant aNow)
+std::string_view work_core::state::ApplyListedRun(const run_id& aId, run_entry& aRun,
+                                                  const listed_run& aListed, instant aNow)
 {
   task_entry* task = FindTask(aId.mTask);
   const bool current =
@@ -87,7 +89,7 @@
 }
 
 // An end counts as known once the record that holds it is stored; only then is it acknowledged.
-void work_core::state::TakeEnds(worker_entry& aWorker, const worker_report& aReport, instant aNow)
+void work_core::state::ApplyEnds(worker_entry& aWorker, const worker_report& aReport, instant aNow)
 {
   for (const listed_end& each : aReport.mEnds) {
     if (each.mNumber <= aWorker.mSeenEnds) {
@@ -106,25 +108,25 @@
   }
 }
 
-void work_core::state::StopForeign(worker_entry& aWorker, const worker_report& aReport)
+void work_core::state::StopOrphans(worker_entry& aWorker, const worker_report& aReport)
 {
-  aWorker.mForeign.clear();
+  aWorker.mOrphans.clear();
   for (const listed_run& each : aReport.mRunning) {
     if (!aWorker.mRuns.contains(each.mRun)) {
-      aWorker.mForeign.insert(each.mRun);
+      aWorker.mOrphans.insert(each.mRun);
       mActions.emplace_back(stop_run{ each.mRun, aWorker.mInfo.mId });
     }
   }
 }
 
-void work_core::state::TakeReport(worker_entry& aWorker, const worker_report& aReport,
-                                  instant aSent, instant aNow)
+void work_core::state::ApplyReport(worker_entry& aWorker, const worker_report& aReport,
+                                   instant aSent, instant aNow)
 {
   std::vector<std::pair<run_id, std::string_view>> toStop;
   std::vector<run_id> gone;
   for (auto& [id, run] : aWorker.mRuns) {
     if (const listed_run* listed = FindListed(aReport, id)) {
-      const std::string_view reason = TakeListed(id, run, *listed, aNow);
+      const std::string_view reason = ApplyListedRun(id, run, *listed, aNow);
       if (!reason.empty()) {
         toStop.emplace_back(id, reason);
       }
@@ -140,18 +142,18 @@
       toStop.emplace_back(id, "no answer to its start and not listed");
     }
   }
-  TakeEnds(aWorker, aReport, aNow);
+  ApplyEnds(aWorker, aReport, aNow);
   for (const run_id& each : gone) {
-    RunGone(aWorker, each, "not listed by its worker", aNow);
+    RunLost(aWorker, each, "not listed by its worker", aNow);
   }
   for (const auto& [run, reason] : toStop) {
     if (reason == kNoProgress) {
-      Distrust(aWorker, aNow, reason);
+      Quarantine(aWorker, aNow, reason);
     }
     StopOthersOfGang(run, aNow);
     StopRun(aWorker, run, reason, aNow);
   }
-  StopForeign(aWorker, aReport);
+  StopOrphans(aWorker, aReport);
   AdvanceAcknowledged(aWorker);
 }
 
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -41,7 +41,7 @@
        current ? ToString(aHow) : "superseded");
   if (aHow == run_end::kDone) {
     aWorker.mFailuresInRow = 0;
-    aWorker.mDistrustedUntil = {};
+    aWorker.mQuarantinedUntil = {};
   }
   if (!current) {
     return;
@@ -54,13 +54,13 @@
   }
   StopOthersOfGang(aRun, aNow);
   if (aHow == run_end::kFailed) {
-    Distrust(aWorker, aNow, "a run failed");
+    Quarantine(aWorker, aNow, "a run failed");
     TaskFailed(aRun, worker, aNow);
   }
-  TaskBack(aRun, aCheckpoint, aNow);
+  RequeueTask(aRun, aCheckpoint, aNow);
 }
 
-void work_core::state::RunGone(worker_entry& aWorker, const run_id& aRun, std::string_view aReason,
+void work_core::state::RunLost(worker_entry& aWorker, const run_id& aRun, std::string_view aReason,
                                instant aNow)
 {
   const std::string worker = aWorker.mInfo.mId;
@@ -71,11 +71,11 @@
   if (task != nullptr && task->mPhase == task_phase::kLive && task->mRun == aRun.mRun &&
       task->mWorker == worker) {
     StopOthersOfGang(aRun, aNow);
-    TaskBack(aRun, {}, aNow);
+    RequeueTask(aRun, {}, aNow);
   }
 }
 
-void work_core::state::TaskBack(const run_id& aRun, const std::string& aCheckpoint, instant aNow)
+void work_core::state::RequeueTask(const run_id& aRun, const std::string& aCheckpoint, instant aNow)
 {
   job_entry* job = FindJob(aRun.mTask.mJob);
   task_entry* task = FindTask(aRun.mTask);
@@ -178,7 +178,7 @@
     // No order has left, so there is nothing to stop; the record that is under way is written
     // over by the change that follows.
     DropRun(aWorker, aRun);
-    TaskBack(aRun, {}, aNow);
+    RequeueTask(aRun, {}, aNow);
     return;
   }
   run.mPhase = run_phase::kStopping;
@@ -305,17 +305,18 @@
   Note(work_note_kind::kWorkerLost, {}, {}, aId, "its leases have run out",
        std::chrono::duration_cast<milliseconds>(aNow - aWorker.mLastHeard));
   for (const run_id& each : gone) {
-    RunGone(aWorker, each, "lease surely over", aNow);
+    RunLost(aWorker, each, "lease surely over", aNow);
   }
 }
 
-void work_core::state::Distrust(worker_entry& aWorker, instant aNow, std::string_view aReason)
+void work_core::state::Quarantine(worker_entry& aWorker, instant aNow, std::string_view aReason)
 {
   const int doublings = std::min(aWorker.mFailuresInRow, 6);
-  const milliseconds wait = std::min(mOptions.mDistrust * (1 << doublings), mOptions.mDistrustCap);
+  const milliseconds wait =
+    std::min(mOptions.mQuarantine * (1 << doublings), mOptions.mQuarantineCap);
   ++aWorker.mFailuresInRow;
-  aWorker.mDistrustedUntil = aNow + wait;
-  Note(work_note_kind::kWorkerDistrusted, {}, {}, aWorker.mInfo.mId, aReason, wait);
+  aWorker.mQuarantinedUntil = aNow + wait;
+  Note(work_note_kind::kWorkerQuarantined, {}, {}, aWorker.mInfo.mId, aReason, wait);
 }
 
 void work_core::state::TimeOut(instant aNow)
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -151,8 +151,8 @@
 {
   const work_step& spec = aUnit.Spec();
   const registered_worker& info = aWorker.mInfo;
-  return aWorker.mListed && aWorker.mInTouch && aWorker.mForeign.empty() && !info.mLeaving &&
-         info.mService == aUnit.mQueue->mService && aWorker.mDistrustedUntil <= aNow &&
+  return aWorker.mListed && aWorker.mInTouch && aWorker.mOrphans.empty() && !info.mLeaving &&
+         info.mService == aUnit.mQueue->mService && aWorker.mQuarantinedUntil <= aNow &&
          std::ranges::count(mSettings.mWithdrawnDomains, info.mDomain) == 0 &&
          (spec.mRequiredLabel.empty() || std::ranges::count(info.mLabels, spec.mRequiredLabel) > 0);
 }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -133,20 +133,20 @@
 {
   registered_worker mInfo;
   bool mListed = false;
-  bool mInTouch = false; ///< answered a look of this reign in its present life
+  bool mInTouch = false; ///< answered a poll of this term in its present incarnation
   instant mClockAt;      ///< when mInfo.mClock was read
   instant mLastHeard;
-  instant mLastLook;
+  instant mLastPoll;
   instant mLeaseSurelyOver; ///< nothing ordered so far can run after this
   std::map<run_id, run_entry> mRuns;
-  std::set<run_id> mForeign; ///< runs it lists that nobody here has ordered
+  std::set<run_id> mOrphans; ///< runs it lists that nobody here has ordered
   task_demand mUsed;         ///< of all runs
   task_demand mClaimed;      ///< of tasks in kClaimed
   std::map<std::int64_t, std::pair<std::string, std::int64_t>> mPendingEnds; ///< job and change
   std::int64_t mAcknowledged = 0;
   std::int64_t mSeenEnds = 0;
   bool mAckDue = false;
-  instant mDistrustedUntil;
+  instant mQuarantinedUntil;
   int mFailuresInRow = 0;
 
   task_demand Free() const { return mInfo.mCapacity - mUsed - mClaimed; }
@@ -177,8 +177,8 @@
 
   work_options mOptions;
   std::int64_t mEpoch = 0;
-  bool mReigning = false;
-  instant mReignSince;
+  bool mInTerm = false;
+  instant mTermSince;
   work_settings mSettings;
   std::map<std::string, job_entry> mJobs;
   std::map<std::string, worker_entry> mWorkers;
@@ -200,8 +200,8 @@
   // work_runs.cpp
   void RunEnded(worker_entry& aWorker, const run_id& aRun, run_end aHow,
                 const std::string& aCheckpoint, instant aNow);
-  void RunGone(worker_entry& aWorker, const run_id& aRun, std::string_view aReason, instant aNow);
-  void TaskBack(const run_id& aRun, const std::string& aCheckpoint, instant aNow);
+  void RunLost(worker_entry& aWorker, const run_id& aRun, std::string_view aReason, instant aNow);
+  void RequeueTask(const run_id& aRun, const std::string& aCheckpoint, instant aNow);
   void TaskDone(const task_id& aTask, instant aNow);
   void TaskFailed(const run_id& aRun, const std::string& aWorker, instant aNow);
   void StopOthersOfGang(const run_id& aRun, instant aNow);
@@ -212,18 +212,19 @@
   void ReleaseRecorded(job_entry& aJob, instant aNow);
   void AdvanceAcknowledged(worker_entry& aWorker);
   void WorkerSilent(const std::string& aId, worker_entry& aWorker, instant aNow);
-  void Distrust(worker_entry& aWorker, instant aNow, std::string_view aReason);
+  void Quarantine(worker_entry& aWorker, instant aNow, std::string_view aReason);
   void TimeOut(instant aNow);
   void Note(work_note_kind aKind, const std::string& aJob, std::string aTask, std::string aWorker,
             std::string_view aReason, milliseconds aAge = milliseconds{ 0 });
 
   // work_reports.cpp
-  void TakeReport(worker_entry& aWorker, const worker_report& aReport, instant aSent, instant aNow);
-  std::string_view TakeListed(const run_id& aId, run_entry& aRun, const listed_run& aListed,
-                              instant aNow);
-  void TakeEnds(worker_entry& aWorker, const worker_report& aReport, instant aNow);
-  void StopForeign(worker_entry& aWorker, const worker_report& aReport);
-  void NewLife(worker_entry& aWorker, std::int64_t aIncarnation, instant aNow);
+  void ApplyReport(worker_entry& aWorker, const worker_report& aReport, instant aSent,
+                   instant aNow);
+  std::string_view ApplyListedRun(const run_id& aId, run_entry& aRun, const listed_run& aListed,
+                                  instant aNow);
+  void ApplyEnds(worker_entry& aWorker, const worker_report& aReport, instant aNow);
+  void StopOrphans(worker_entry& aWorker, const worker_report& aReport);
+  void NewIncarnation(worker_entry& aWorker, std::int64_t aIncarnation, instant aNow);
 
   // work_schedule.cpp
   void PlaceAll(instant aNow);
