--- a/src/libcontrol/leadership.cpp
+++ b/src/libcontrol/leadership.cpp
@@ -114,7 +114,17 @@
 {
   store_transaction write;
   write.mWrites.push_back({ std::string(kPeerPrefix) + mName, mAddress, 0 });
-  while (!mStore.Commit(write, monotonic_clock::now() + kCallDeadline)) {
+  bool logged = false;
+  while (true) {
+    const auto done = mStore.Commit(write, monotonic_clock::now() + kCallDeadline);
+    if (done) {
+      return;
+    }
+    if (!std::exchange(logged, true)) {
+      LogEvent(kStoreViewLost, { Field("prefix", kPeerPrefix), Field("revision", 0),
+                                 Field("error", ToString(done.error().mKind)),
+                                 Field("what", std::string_view(done.error().mWhat)) });
+    }
     SleepFor(kRenewEvery);
   }
 }
--- a/src/libcontrol/leadership.h
+++ b/src/libcontrol/leadership.h
@@ -48,7 +48,6 @@
   static constexpr std::string_view kPeerPrefix = "briarwind/hosts/peer/";
 
 private:
-  void Follow();
   void RunElection();
   void RenewLoop(std::int64_t aEpoch);
   void Announce();
