Settings node stops its parts at once; a way's cut no longer misses a connection being made

Cause: (1) libnet.settings_node_test: fibers of a destroyed settings_node kept their state, feed and membership going for up to 3 s, because ~settings_node only set the node's own stop flag and KeepRecord did not look at it after its pause. In the test the next section's store stands at the same address, so the old members registered there and handed over their d1 with revision 6. (2) testsuite.settings_store_down: Way.cut() of the harness missed a connection accepted before the cut and noted after it; one scheduler kept its store and its peers got the change from it. Ruled out: a reused port or a peer of a former life in a real process (its fibers die with it); a fault of the freshness rule (2). Change: Stop() on feed and membership, called by ~settings_node and Leave; fiber_runtime counts its fibers and the test's cluster waits for them; Way keeps its list under a lock.

--- a/src/include/briarwind/fiber_runtime.h
+++ b/src/include/briarwind/fiber_runtime.h
@@ -2,6 +2,7 @@
 
 #include "briarwind/time.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <span>
@@ -28,6 +29,10 @@
   /// Starts a fiber. It ends on its own; there is no way to cancel it from outside.
   void Spawn(std::function<void()> aBody);
 
+  /// How many fibers that this runtime started have not ended yet. What they refer to has to live
+  /// until this is 0.
+  std::size_t Running() const;
+
   /// For main: leaves the process at once. Returning from main would wait for every fiber.
   [[noreturn]] static void Exit(int aStatus);
 
--- a/src/include/briarwind/membership.h
+++ b/src/include/briarwind/membership.h
@@ -23,6 +23,8 @@
   membership& operator=(const membership&) = delete;
 
   void Start();
+  /// No further call to the store but for one that is under way.
+  void Stop();
 
   const member& Self() const;
   /// All members as last listed; while the store is away, those of before.
--- a/src/include/briarwind/settings_feed.h
+++ b/src/include/briarwind/settings_feed.h
@@ -19,12 +19,13 @@
 public:
   settings_feed(fiber_runtime& aRuntime, config_store& aStore, metrics& aMetrics,
                 std::uint64_t aSeed);
-  /// Ends the feed's fiber at its next step.
   ~settings_feed();
   settings_feed(const settings_feed&) = delete;
   settings_feed& operator=(const settings_feed&) = delete;
 
   void Start();
+  /// Ends the feed's fiber at its next step.
+  void Stop();
 
   const settings_book& Book() const;
   const member_record& Record() const;
--- a/src/libnet/fiber_runtime.cpp
+++ b/src/libnet/fiber_runtime.cpp
@@ -99,6 +99,8 @@
 struct fiber_runtime::state
 {
   std::shared_ptr<asio::io_context> mContext = ThisThreadContext().mContext;
+  // Shared with the fibers, which may outlive the runtime.
+  std::shared_ptr<std::size_t> mRunning = std::make_shared<std::size_t>(0);
 };
 
 fiber_runtime::fiber_runtime()
@@ -115,7 +117,19 @@
 
 void fiber_runtime::Spawn(std::function<void()> aBody)
 {
-  fibers::fiber(fibers::launch::post, std::move(aBody)).detach();
+  ++*mState->mRunning;
+  fibers::fiber(fibers::launch::post, [running = mState->mRunning,
+                                       body = std::move(aBody)]() mutable {
+    body();
+    // What the body holds may end other fibers; it goes before this one counts as ended.
+    body = nullptr;
+    --*running;
+  }).detach();
+}
+
+std::size_t fiber_runtime::Running() const
+{
+  return *mState->mRunning;
 }
 
 void fiber_runtime::Exit(int aStatus)
--- a/src/libnet/membership.cpp
+++ b/src/libnet/membership.cpp
@@ -135,7 +135,7 @@
 
 membership::~membership()
 {
-  mState->mStopped = true;
+  Stop();
 }
 
 void membership::Start()
@@ -144,6 +144,11 @@
   mRuntime.Spawn([keep = mState] { keep->KeepListing(); });
 }
 
+void membership::Stop()
+{
+  mState->mStopped = true;
+}
+
 const member& membership::Self() const
 {
   return mState->mSelf;
@@ -167,7 +172,7 @@
 
 void membership::Leave(instant aDeadline)
 {
-  mState->mStopped = true;
+  Stop();
   if (mState->mLease != 0) {
     static_cast<void>(mState->mStore.RevokeLease(mState->mLease, aDeadline));
   }
--- a/src/libnet/settings_feed.cpp
+++ b/src/libnet/settings_feed.cpp
@@ -244,7 +244,7 @@
 
 settings_feed::~settings_feed()
 {
-  mState->mStopped = true;
+  Stop();
   mState->mOnChange = Ignore;
   mState->mOnOlder = Ignore;
   mState->mOnConfirmed = IgnoreInstant;
@@ -255,6 +255,11 @@
   mRuntime.Spawn([keep = mState] { keep->Run(); });
 }
 
+void settings_feed::Stop()
+{
+  mState->mStopped = true;
+}
+
 const settings_book& settings_feed::Book() const
 {
   return mState->mBook;
--- a/src/libnet/settings_node.cpp
+++ b/src/libnet/settings_node.cpp
@@ -79,6 +79,8 @@
     return mOptions.mSelf;
   }
 
+  // Fibers that still sleep hold this state, so its parts are stopped by name.
+  void Stop();
   bool IsInRecord() const { return IsIn(mFeed.Record().mMembers, mOptions.mSelf.mId); }
   void Connect();
   void OnFeedChange();
@@ -123,6 +125,13 @@
   });
 }
 
+void settings_node::state::Stop()
+{
+  mStopped = true;
+  mFeed.Stop();
+  mMembers.Stop();
+}
+
 void settings_node::state::OnFeedChange()
 {
   mFreshness.OnHeld(mFeed.Book().Revision());
@@ -281,7 +290,7 @@
   while (!mStopped) {
     SleepFor(kRecordInterval);
     const instant now = monotonic_clock::now();
-    if (!mFreshness.Report(now).mHasRead || !mMembers.Refresh(now + kRecordWriteTime) ||
+    if (mStopped || !mFreshness.Report(now).mHasRead || !mMembers.Refresh(now + kRecordWriteTime) ||
         !IsRecordWriter()) {
       continue;
     }
@@ -310,7 +319,7 @@
 
 settings_node::~settings_node()
 {
-  mState->mStopped = true;
+  mState->Stop();
 }
 
 void settings_node::Start()
@@ -379,7 +388,7 @@
 
 void settings_node::Leave(instant aDeadline)
 {
-  mState->mStopped = true;
+  mState->Stop();
   mState->mMembers.Leave(aDeadline);
 }
 
--- a/src/libnet/settings_node_test.cpp
+++ b/src/libnet/settings_node_test.cpp
@@ -61,11 +61,12 @@
     }
   }
 
+  // Fibers of the nodes refer to the store until they end.
   ~cluster()
   {
     mNodes.clear();
     mStore.SetDown(true);
-    SleepFor(milliseconds(50));
+    BW_CHECK(Eventually([&] { return mRuntime.Running() == 0; }));
   }
 
   bool AllFresh()
@@ -141,3 +142,29 @@
     BW_CHECK(Eventually([&] { return !IsWithdrawn(*three.mNodes.back()); }));
   }
 }
+
+BW_STORY("a node that is gone")
+{
+  fiber_runtime runtime;
+  metrics counters;
+  memory_store store;
+  settings_node_options options;
+  options.mSelf.mPeer = { "127.0.0.1", 0 };
+  auto node = std::make_unique<settings_node>(runtime, store, counters, options);
+  node->Start();
+  BW_CHECK(Eventually([&] { return node->Check(monotonic_clock::now()).IsFresh(); }));
+  node.reset();
+
+  BW_SECTION("calls the store no more")
+  {
+    // What was under way ends in the first step of each fiber.
+    SleepFor(milliseconds(20));
+    const std::uint64_t calls = store.Calls();
+    BW_CHECK(Eventually([&] { return runtime.Running() == 0; }));
+    BW_EQUAL(calls, store.Calls());
+  }
+  BW_SECTION("leaves no fiber behind that refers to the store")
+  {
+    BW_CHECK(Eventually([&] { return runtime.Running() == 0; }));
+  }
+}
--- a/testsuite/settings_cases.py
+++ b/testsuite/settings_cases.py
@@ -23,15 +23,17 @@
         self._target = target.rsplit(":", 1)
         self._open = []
         self._is_cut = False
+        self._lock = threading.Lock()
         self._listener = socket.create_server((harness.LOOPBACK, 0))
         self.address = f"{harness.LOOPBACK}:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
 
     def cut(self):
-        self._is_cut = True
-        for each in self._open:
+        with self._lock:
+            self._is_cut = True
+            cut, self._open = self._open, []
+        for each in cut:
             each.close_both()
-        self._open = []
 
     def join(self):
         self._is_cut = False
@@ -48,8 +50,17 @@
                 caller.close()
                 continue
             relay = Relay(caller, callee)
-            self._open.append(relay)
-            relay.start()
+            if self._keep(relay):
+                relay.start()
+            else:
+                relay.close_both()
+
+    def _keep(self, relay):
+        """Whether the way was not cut while the connection was made."""
+        with self._lock:
+            if not self._is_cut:
+                self._open.append(relay)
+            return not self._is_cut
 
 
 class Relay:
