Router faults: the last step sets its fault on an instance that runs

Cause: the step set the fault on the first instance, which 'an instance killed within the request' had killed in one run of three (ConnectionRefusedError, seen in 1 of 6 runs). Ruled out: the router (its log shows no decision in that step). Not traced: 503 connect-failed of earlier runs, not seen again; the entry in KNOWN-RED.txt stays for it alone. Change: the fault goes to the first instance that runs.

--- a/testsuite/router_faults/run.py
+++ b/testsuite/router_faults/run.py
@@ -124,7 +124,9 @@
     # Retries are a tenth of the recent successes: the steps before have used them up.
     for number in range(100):
         expect(send(cluster, f"earn-{number}"), 200, "ok", "answered")
-    http_call(cluster.instances[0].address, "POST", "/test/faults", {"dropAfterRunEvery": 1})
+    # One of the three was killed by an earlier step.
+    faulty = next(each for each in cluster.instances if each.is_running())
+    http_call(faulty.address, "POST", "/test/faults", {"dropAfterRunEvery": 1})
     for number in range(6):
         expect(send(cluster, f"again-{number}", repeatable=True), 200, "ok", "answered")
     set_faults(cluster, dropAfterRunEvery=0)
