Workers that leave: what cannot end in time is stopped at the notice

Ruled out: telling from the registry that it has left (its entry lapses like that of a worker which is cut off, trial on a scratch copy); shorter leases for all (runs are to outlive outages of the store). Change: the registry's time left is decoded; runs that will not end within it, by their speed so far, are stopped while the worker can still tell of it; a stop also saves checkpoints.

--- a/src/include/briarwind/work_model.h
+++ b/src/include/briarwind/work_model.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -123,6 +124,8 @@
   std::vector<std::string> mLabels;
   task_demand mCapacity;
   bool mLeaving = false;
+  /// While it leaves: the least time until its runs are cut off, when it tells.
+  std::optional<milliseconds> mStaysFor;
   milliseconds mClock{ 0 };      ///< the worker's own clock when it reported
   std::int64_t mIncarnation = 0; ///< tells one incarnation under an id from the next
 
--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -82,6 +82,7 @@
     if (isNew && worker.mLeaseSurelyOver == instant()) {
       worker.mLastHeard = aNow;
     }
+    mState->NoteDeparture(worker, aNow);
   }
 }
 
--- a/src/libwork/work_reports.cpp
+++ b/src/libwork/work_reports.cpp
@@ -77,6 +77,10 @@
     aRun.mProgressAt = aNow;
     reason = current ? std::string_view() : "no longer wanted";
   }
+  if (aRun.mFirstPercent < 0) {
+    aRun.mFirstPercent = aListed.mPercent;
+    aRun.mFirstListed = aNow;
+  }
   if (aRun.mPercent != aListed.mPercent) {
     aRun.mPercent = aListed.mPercent;
     aRun.mProgressAt = aNow;
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -125,6 +125,8 @@
   instant mStopAnsweredAt;
   int mPercent = -1;
   instant mProgressAt;
+  int mFirstPercent = -1; ///< as first listed: a run may go on from a checkpoint
+  instant mFirstListed;
   instant mStartedAt;
   milliseconds mStallTime{ 0 };
 };
@@ -146,6 +148,7 @@
   std::int64_t mAcknowledged = 0;
   std::int64_t mSeenEnds = 0;
   bool mAckDue = false;
+  instant mLeavesAt; ///< its runs may be cut off from then on; instant(): it stays
   instant mQuarantinedUntil;
   int mFailuresInRow = 0;
 
@@ -226,6 +229,10 @@
   void StopOrphans(worker_entry& aWorker, const worker_report& aReport);
   void NewIncarnation(worker_entry& aWorker, std::int64_t aIncarnation, instant aNow);
 
+  // work_departure.cpp
+  void NoteDeparture(worker_entry& aWorker, instant aNow);
+  bool EndsBefore(const run_id& aRun, const run_entry& aEntry, instant aBy);
+
   // work_schedule.cpp
   void PlaceAll(instant aNow);
   std::vector<ready_unit> ReadyUnits(instant aNow);
