Workers whose last run failed are tried with one run at a time

Three runs of one job that failed together counted as three failures, a poisoned job's failures were held against workers. Ruled out: longer quarantines alone (failing spells last 6 to 8 s, a first failure of a sound worker is as likely; not tried). After a failure one run at a time until one is done, no gang unless it has waited a second; a task that fails on a second worker clears the first; a worker that stood still is trusted at the first progress. The simulated worker fails its runs midway. Test: 'gets no gang that could wait a moment for another worker' failed before.

--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -41,6 +41,9 @@
   /// row up to the cap. The first is shorter than any task, the cap a tenth of a lease's life more.
   milliseconds mQuarantine{ 1'000 };
   milliseconds mQuarantineCap{ 8'000 };
+  /// A gang is tried on a worker whose last run failed only once it has waited this long: well
+  /// below the time in which guaranteed work has to start.
+  milliseconds mProbeWait{ 1'000 };
   /// Waits this long for a better place (data, one rack) than the one that is free now.
   milliseconds mLocalityWait{ 1'500 };
   /// A poll waits this long for the next end: short enough to see a stall in two of them, long
--- a/src/libwork/testing/fleet_simulation.cpp
+++ b/src/libwork/testing/fleet_simulation.cpp
@@ -113,10 +113,11 @@
     return aNow - aRun.mStoppedAt >= kStopTakes ? std::optional(run_end::kStopped) : std::nullopt;
   }
   aRun.mLeft -= mStandsStill ? milliseconds{ 0 } : aPassed;
-  if (aRun.mLeft.count() > 0) {
-    return std::nullopt;
+  // A run that fails does so midway, before its gang is done.
+  if (aRun.mFails && 2 * aRun.mLeft <= aRun.mWhole) {
+    return run_end::kFailed;
   }
-  return aRun.mFails ? run_end::kFailed : run_end::kDone;
+  return aRun.mLeft.count() > 0 ? std::nullopt : std::optional(run_end::kDone);
 }
 
 void simulated_worker::Advance(instant aNow)
--- a/src/libwork/work_core_test.cpp
+++ b/src/libwork/work_core_test.cpp
@@ -366,3 +366,47 @@
     BW_EQUAL(4, fleet.Starts("a"));
   }
 }
+
+BW_STORY("a worker that fails all it starts")
+{
+  fleet_simulation fleet(4, 1);
+  fleet.Run(milliseconds(200));
+  fleet.Worker(0).mFailsAll = true;
+
+  BW_SECTION("gets no gang that could wait a moment for another worker")
+  {
+    fleet.Submit(Job("a", "batch", { Step(4, 8) }), milliseconds(300));
+    fleet.Run(milliseconds(1'600));
+    BW_EQUAL(1, fleet.Worker(0).mStarted);
+    fleet.Submit(Gang("b", "batch", 2, 8), milliseconds(500));
+    fleet.Submit(Gang("c", "batch", 2, 8), milliseconds(500));
+    fleet.Run(milliseconds(2'000));
+    BW_EQUAL(2, fleet.Starts("b"));
+    BW_EQUAL(2, fleet.Starts("c"));
+    BW_CHECK(fleet.AllOver());
+  }
+  BW_SECTION("is tried again with one run at a time")
+  {
+    fleet.Submit(Job("a", "batch", { Step(32, 1) }), milliseconds(500));
+    fleet.Run(milliseconds(700));
+    const int first = fleet.Worker(0).mStarted;
+    fleet.Submit(Job("b", "batch", { Step(64, 1) }), milliseconds(500));
+    fleet.Run(milliseconds(2'500));
+    BW_CHECK(fleet.Worker(0).mStarted - first <= 2);
+    fleet.Worker(0).mFailsAll = false;
+    fleet.Run(milliseconds(10'000));
+    BW_CHECK(fleet.AllOver());
+  }
+  BW_SECTION("is not blamed for a job that fails everywhere")
+  {
+    fleet.Worker(0).mFailsAll = false;
+    fleet.mPoisoned.insert("a");
+    fleet.Submit(Job("a", "batch", { Step(3, 8) }), milliseconds(100));
+    fleet.Run(milliseconds(6'000));
+    BW_CHECK(fleet.StoredState("a") == work_state::kFailed);
+    fleet.Submit(Gang("b", "batch", 4, 8), milliseconds(500));
+    fleet.Run(milliseconds(1'500));
+    BW_CHECK(fleet.StoredState("b") == work_state::kCompleted);
+  }
+  BW_CHECK(fleet.mBroken.empty());
+}
--- a/src/libwork/work_placement.cpp
+++ b/src/libwork/work_placement.cpp
@@ -146,9 +146,10 @@
 
 int StepLimit(const worker_entry& aWorker, const ready_unit& aUnit)
 {
+  const int probes = ProbeLimit(aWorker, aUnit);
   const int limit = aUnit.Spec().mPerWorkerLimit;
   if (limit <= 0) {
-    return std::numeric_limits<int>::max();
+    return probes;
   }
   const auto first = aWorker.mRuns.lower_bound({ aUnit.Task(0), 0 });
   int there = 0;
@@ -164,7 +165,18 @@
     static_cast<int>(std::ranges::count_if(aUnit.Entry().mTasks, [&](const task_entry& aTask) {
       return aTask.mPhase == task_phase::kClaimed && aTask.mWorker == aWorker.mInfo.mId;
     }));
-  return std::max(limit - there, 0);
+  return std::min(probes, std::max(limit - there, 0));
+}
+
+// A worker whose last run failed shows with one run whether it is well again; a gang would lose the
+// work of all its members there.
+int ProbeLimit(const worker_entry& aWorker, const ready_unit& aUnit)
+{
+  if (aWorker.mFailuresInRow == 0) {
+    return std::numeric_limits<int>::max();
+  }
+  const bool idle = aWorker.mRuns.empty() && aWorker.mClaimed == task_demand{};
+  return idle && aUnit.mTakesProbes ? 1 : 0;
 }
 
 std::vector<worker_group> GroupByRack(const std::vector<worker_entry*>& aWorkers)
--- a/src/libwork/work_placement.h
+++ b/src/libwork/work_placement.h
@@ -22,6 +22,8 @@
 
 /// How many more tasks of the unit's step the worker may take by the step's own limit.
 int StepLimit(const worker_entry& aWorker, const ready_unit& aUnit);
+/// The same as far as it depends on whether the worker's runs failed of late.
+int ProbeLimit(const worker_entry& aWorker, const ready_unit& aUnit);
 
 /// Workers of one rack, in the order in which racks should be tried.
 struct worker_group
--- a/src/libwork/work_reports.cpp
+++ b/src/libwork/work_reports.cpp
@@ -59,8 +59,9 @@
 
 // Takes over what a worker says of a run that it lists; the reason why the run has to be stopped,
 // or nothing.
-std::string_view work_core::state::ApplyListedRun(const run_id& aId, run_entry& aRun,
-                                                  const listed_run& aListed, instant aNow)
+std::string_view work_core::state::ApplyListedRun(worker_entry& aWorker, const run_id& aId,
+                                                  run_entry& aRun, const listed_run& aListed,
+                                                  instant aNow)
 {
   task_entry* task = FindTask(aId.mTask);
   const bool current =
@@ -82,6 +83,9 @@
     aRun.mFirstListed = aNow;
   }
   if (aRun.mPercent != aListed.mPercent) {
+    if (aRun.mPercent >= 0) {
+      NoteProgress(aWorker, aRun);
+    }
     aRun.mPercent = aListed.mPercent;
     aRun.mProgressAt = aNow;
     return reason;
@@ -130,7 +134,7 @@
   std::vector<run_id> gone;
   for (auto& [id, run] : aWorker.mRuns) {
     if (const listed_run* listed = FindListed(aReport, id)) {
-      const std::string_view reason = ApplyListedRun(id, run, *listed, aNow);
+      const std::string_view reason = ApplyListedRun(aWorker, id, run, *listed, aNow);
       if (!reason.empty()) {
         toStop.emplace_back(id, reason);
       }
@@ -152,7 +156,7 @@
   }
   for (const auto& [run, reason] : toStop) {
     if (reason == kNoProgress) {
-      Quarantine(aWorker, aNow, reason);
+      BlameForStall(aWorker, aNow);
     }
     StopOthersOfGang(run, aNow);
     StopRun(aWorker, run, reason, aNow);
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -40,8 +40,7 @@
   Note(work_note_kind::kEnded, aRun.mTask.mJob, ToString(aRun.mTask), worker,
        current ? ToString(aHow) : "superseded");
   if (aHow == run_end::kDone) {
-    aWorker.mFailuresInRow = 0;
-    aWorker.mQuarantinedUntil = {};
+    TrustAgain(aWorker);
   }
   if (!current) {
     return;
@@ -54,7 +53,7 @@
   }
   StopOthersOfGang(aRun, aNow);
   if (aHow == run_end::kFailed) {
-    Quarantine(aWorker, aNow, "a run failed");
+    BlameFor(aWorker, aRun, "a run failed", aNow);
     TaskFailed(aRun, worker, aNow);
   }
   RequeueTask(aRun, aCheckpoint, aNow);
@@ -140,6 +139,9 @@
   const int attempts =
     queue == mSettings.mQueues.end() ? job->mSpec.mPolicy.mAttempts : queue->second.mAttempts;
   if (!spec.mLasting && failures >= attempts) {
+    for (const task_entry& each : step->mTasks) {
+      PardonFor(aRun.mTask.mJob, each.mFailedOn);
+    }
     Finish(*job, work_state::kFailed,
            fmt::format("{} failed {} times", ToString(aRun.mTask), failures), aNow);
   }
@@ -309,16 +311,6 @@
   }
 }
 
-void work_core::state::Quarantine(worker_entry& aWorker, instant aNow, std::string_view aReason)
-{
-  const int doublings = std::min(aWorker.mFailuresInRow, 6);
-  const milliseconds wait =
-    std::min(mOptions.mQuarantine * (1 << doublings), mOptions.mQuarantineCap);
-  ++aWorker.mFailuresInRow;
-  aWorker.mQuarantinedUntil = aNow + wait;
-  Note(work_note_kind::kWorkerQuarantined, {}, {}, aWorker.mInfo.mId, aReason, wait);
-}
-
 void work_core::state::TimeOut(instant aNow)
 {
   for (auto& [id, worker] : mWorkers) {
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -101,10 +101,13 @@
         }
         if (HasTasksToPlace(entry)) {
           const bool hopeless = aNow > job.mKnownSince + kHopelessFactor * objective;
-          units.push_back(
-            { &job, &occurrence, static_cast<int>(step), &queue, false, job.mKnownSince + objective,
-              queue.mPriority == 0 ? kRankUrgent
-                                   : kRankOther + queue.mPriority + (hopeless ? 100 : 0) });
+          const bool probes =
+            !job.mSpec.mSteps[step].mGang || aNow - entry.mReadySince >= mOptions.mProbeWait;
+          units.push_back({ &job, &occurrence, static_cast<int>(step), &queue, false, probes,
+                            job.mKnownSince + objective,
+                            queue.mPriority == 0
+                              ? kRankUrgent
+                              : kRankOther + queue.mPriority + (hopeless ? 100 : 0) });
         }
       }
     }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -150,7 +150,9 @@
   bool mAckDue = false;
   instant mLeavesAt; ///< its runs may be cut off from then on; instant(): it stays
   instant mQuarantinedUntil;
-  int mFailuresInRow = 0;
+  int mFailuresInRow = 0; ///< above 0 it is tried with one run at a time
+  std::string mBlamedFor; ///< job of the last failure that counted
+  instant mStalledSince;  ///< when a run without progress was found; instant(): none
 
   task_demand Free() const { return mInfo.mCapacity - mUsed - mClaimed; }
 };
@@ -162,9 +164,10 @@
   occurrence_entry* mOccurrence = nullptr;
   int mStep = 0;
   const work_queue* mQueue = nullptr;
-  bool mGuaranteed = false; ///< priority 0 within its organisation's guarantee
-  instant mObjective;       ///< when it should be done
-  int mRank = 0;            ///< lower goes first
+  bool mGuaranteed = false;  ///< priority 0 within its organisation's guarantee
+  bool mTakesProbes = false; ///< may be tried on a worker whose last run failed
+  instant mObjective;        ///< when it should be done
+  int mRank = 0;             ///< lower goes first
 
   const work_step& Spec() const;
   step_entry& Entry() const;
@@ -215,7 +218,6 @@
   void ReleaseRecorded(job_entry& aJob, instant aNow);
   void AdvanceAcknowledged(worker_entry& aWorker);
   void WorkerSilent(const std::string& aId, worker_entry& aWorker, instant aNow);
-  void Quarantine(worker_entry& aWorker, instant aNow, std::string_view aReason);
   void TimeOut(instant aNow);
   void Note(work_note_kind aKind, const std::string& aJob, std::string aTask, std::string aWorker,
             std::string_view aReason, milliseconds aAge = milliseconds{ 0 });
@@ -223,12 +225,20 @@
   // work_reports.cpp
   void ApplyReport(worker_entry& aWorker, const worker_report& aReport, instant aSent,
                    instant aNow);
-  std::string_view ApplyListedRun(const run_id& aId, run_entry& aRun, const listed_run& aListed,
-                                  instant aNow);
+  std::string_view ApplyListedRun(worker_entry& aWorker, const run_id& aId, run_entry& aRun,
+                                  const listed_run& aListed, instant aNow);
   void ApplyEnds(worker_entry& aWorker, const worker_report& aReport, instant aNow);
   void StopOrphans(worker_entry& aWorker, const worker_report& aReport);
   void NewIncarnation(worker_entry& aWorker, std::int64_t aIncarnation, instant aNow);
 
+  // work_health.cpp
+  void BlameFor(worker_entry& aWorker, const run_id& aRun, std::string_view aReason, instant aNow);
+  void BlameForStall(worker_entry& aWorker, instant aNow);
+  void PardonFor(const std::string& aJob, const std::set<std::string>& aWorkers);
+  void NoteProgress(worker_entry& aWorker, const run_entry& aRun);
+  void TrustAgain(worker_entry& aWorker);
+  void Quarantine(worker_entry& aWorker, instant aNow, std::string_view aReason);
+
   // work_departure.cpp
   void NoteDeparture(worker_entry& aWorker, instant aNow);
   bool EndsBefore(const run_id& aRun, const run_entry& aEntry, instant aBy);
