--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -79,6 +79,11 @@
   return { mJob->mSpec.mId, mOccurrence->mNumber, mStep, aIndex };
 }
 
+bool ready_unit::MayStopOthers() const
+{
+  return mQueue->mPriority == 0 || Spec().mLasting;
+}
+
 std::vector<ready_unit> work_core::state::ReadyUnits(instant aNow)
 {
   std::vector<ready_unit> units;
@@ -172,9 +177,10 @@
   for (ready_unit& unit : units) {
     CheckClaims(unit, aNow);
   }
+  UpdateUrgentUse(aNow);
+  HoldBack();
   for (ready_unit& unit : units) {
-    const bool mayStopOthers = unit.mQueue->mPriority == 0 || unit.Spec().mLasting;
-    if (!PlaceUnit(unit, aNow) && mayStopOthers) {
+    if (!PlaceUnit(unit, aNow) && unit.MayStopOthers()) {
       PlaceByEviction(unit, aNow);
     }
   }
@@ -190,9 +196,11 @@
     return true; // members of the last run are not gone yet
   }
   AskAdvice(aUnit, aNow);
+  const bool mayStopOthers = aUnit.MayStopOthers();
   std::vector<worker_entry*> usable;
   for (auto& [id, worker] : mWorkers) {
-    if (IsUsable(worker, aUnit, aNow)) {
+    const bool held = !mayStopOthers && mHeldBack.contains(&worker);
+    if (!held && IsUsable(worker, aUnit, aNow)) {
       usable.push_back(&worker);
     }
   }
@@ -229,6 +237,7 @@
     run_entry run;
     run.mDemand = RoomOf(spec);
     run.mGang = spec.mGang;
+    run.mUrgent = aUnit.mQueue->mPriority == 0;
     run.mRecordedIn = aUnit.mJob->mChange;
     run.mPhaseSince = aNow;
     run.mStartedAt = aNow;
