--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -44,9 +44,6 @@
   /// A gang is tried on a worker whose last run failed only once it has waited this long: well
   /// below the time in which guaranteed work has to start.
   milliseconds mProbeWait{ 1'000 };
-  /// Room that urgent work has used stays free for it; half of it is given up after this. About
-  /// the time in which a burst of urgent jobs passes.
-  milliseconds mReserveHalfLife{ 5'000 };
   /// Waits this long for a better place (data, one rack) than the one that is free now.
   milliseconds mLocalityWait{ 1'500 };
   /// A poll waits this long for the next end: short enough to see a stall in two of them, long
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -152,7 +152,6 @@
   run.mPhase = run_phase::kRestored;
   run.mDemand = RoomOf(step);
   run.mGang = step.mGang;
-  run.mUrgent = aJob.mSpec.mPolicy.mPriority == 0;
   run.mPhaseSince = aNow;
   run.mProgressAt = aNow;
   run.mStartedAt = aNow;
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -79,11 +79,6 @@
   return { mJob->mSpec.mId, mOccurrence->mNumber, mStep, aIndex };
 }
 
-bool ready_unit::MayStopOthers() const
-{
-  return mQueue->mPriority == 0 || Spec().mLasting;
-}
-
 std::vector<ready_unit> work_core::state::ReadyUnits(instant aNow)
 {
   std::vector<ready_unit> units;
@@ -177,10 +172,9 @@
   for (ready_unit& unit : units) {
     CheckClaims(unit, aNow);
   }
-  UpdateUrgentUse(aNow);
-  HoldBack();
   for (ready_unit& unit : units) {
-    if (!PlaceUnit(unit, aNow) && unit.MayStopOthers()) {
+    const bool mayStopOthers = unit.mQueue->mPriority == 0 || unit.Spec().mLasting;
+    if (!PlaceUnit(unit, aNow) && mayStopOthers) {
       PlaceByEviction(unit, aNow);
     }
   }
@@ -196,11 +190,9 @@
     return true; // members of the last run are not gone yet
   }
   AskAdvice(aUnit, aNow);
-  const bool mayStopOthers = aUnit.MayStopOthers();
   std::vector<worker_entry*> usable;
   for (auto& [id, worker] : mWorkers) {
-    const bool held = !mayStopOthers && mHeldBack.contains(&worker);
-    if (!held && IsUsable(worker, aUnit, aNow)) {
+    if (IsUsable(worker, aUnit, aNow)) {
       usable.push_back(&worker);
     }
   }
@@ -237,7 +229,6 @@
     run_entry run;
     run.mDemand = RoomOf(spec);
     run.mGang = spec.mGang;
-    run.mUrgent = aUnit.mQueue->mPriority == 0;
     run.mRecordedIn = aUnit.mJob->mChange;
     run.mPhaseSince = aNow;
     run.mStartedAt = aNow;
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -116,7 +116,6 @@
   run_phase mPhase = run_phase::kRecording;
   task_demand mDemand; ///< what it takes of the worker's capacity
   bool mGang = false;
-  bool mUrgent = false;         ///< of the first priority, which stops others
   std::int64_t mRecordedIn = 0; ///< change of the job's record that holds it
   instant mPhaseSince;
   instant mStartAnswered; ///< valid in kRunning
@@ -173,14 +172,6 @@
   const work_step& Spec() const;
   step_entry& Entry() const;
   task_id Task(int aIndex) const;
-  bool MayStopOthers() const;
-};
-
-/// Room that urgent work of one service has used of late.
-struct urgent_use
-{
-  double mPeak = 0; ///< accelerators; falls over time
-  int mNow = 0;
 };
 
 struct work_core::state
@@ -198,11 +189,8 @@
   std::map<std::string, job_entry> mJobs;
   std::map<std::string, worker_entry> mWorkers;
   std::vector<work_action> mActions;
-  std::map<std::string, urgent_use> mUrgentUse; ///< by service
-  instant mUrgentUseAt;                         ///< when it was last brought up to date
-  std::set<const worker_entry*> mHeldBack;      ///< kept for urgent work in this pass
-  bool mReplan = false;                         ///< something changed that may let a task be placed
-  instant mReplanAt;                            ///< planned again by then anyhow
+  bool mReplan = false; ///< something changed that may let a task be placed
+  instant mReplanAt;    ///< planned again by then anyhow
 
   // work_jobs.cpp
   void Restore(job_entry& aJob, const stored_job& aStored, instant aNow);
@@ -255,10 +243,6 @@
   void NoteDeparture(worker_entry& aWorker, instant aNow);
   bool EndsBefore(const run_id& aRun, const run_entry& aEntry, instant aBy);
 
-  // work_reserve.cpp
-  void UpdateUrgentUse(instant aNow);
-  void HoldBack();
-
   // work_schedule.cpp
   void PlaceAll(instant aNow);
   std::vector<ready_unit> ReadyUnits(instant aNow);
