--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -28,9 +28,6 @@
   /// Urgent work beyond a guarantee may cost at most this many times its own work in work of
   /// others: an hour of urgent work is worth about that much more than one of the rest.
   double mMostLossFactor = 4;
-  /// After this wait it may cost that much. A fifth of the time in which guaranteed work has to
-  /// start, stops included.
-  milliseconds mEvictionPatience{ 500 };
   double mRemoteFactor = 3; ///< slowdown away from data or over racks; from the deployment
   /// A worker's clock may be 2% slow; the rest covers rounding.
   double mClockSlack = 1.03;
--- a/src/libwork/work_eviction.cpp
+++ b/src/libwork/work_eviction.cpp
@@ -14,8 +14,6 @@
 constexpr double kCoresPerAccelerator = 8;
 constexpr double kMilli = 1000;
 
-// Work that may be lost at once for urgent work, as a multiple of its own.
-constexpr double kFirstLossFactor = 0.5;
 // Gangs that a plan is seeded with, cheapest first. Each costs one more plan over all workers.
 constexpr std::size_t kSeededGangs = 4;
 
@@ -263,22 +261,16 @@
   return members * CoresOf(aEntry.mDemand) * (spec.mCheckpoints ? restart.count() : ran.count());
 }
 
-// Most core-seconds that may be lost for the unit. At first only a little: in a full pool much room
-// comes free by itself within a moment, and urgent work has the first choice of it. What is
-// guaranteed is owed at any price in the end.
-double work_core::state::MostLoss(const ready_unit& aUnit, instant aNow) const
+// Most core-seconds that may be lost for the unit. What is guaranteed is owed at any price.
+double work_core::state::MostLoss(const ready_unit& aUnit) const
 {
-  const std::chrono::duration<double> waited = aNow - aUnit.Entry().mReadySince;
-  const std::chrono::duration<double> patience = mOptions.mEvictionPatience;
-  const double part = std::min(1.0, waited / patience);
-  const bool owed = aUnit.mGuaranteed || aUnit.Spec().mLasting;
-  if (owed && part >= 1) {
+  if (aUnit.mGuaranteed || aUnit.Spec().mLasting) {
     return std::numeric_limits<double>::infinity();
   }
   const work_step& spec = aUnit.Spec();
   const std::chrono::duration<double> estimate = spec.mEstimate;
-  const double factor = kFirstLossFactor + part * (mOptions.mMostLossFactor - kFirstLossFactor);
-  return factor * static_cast<double>(spec.mCount) * CoresOf(spec.mDemand) * estimate.count();
+  return mOptions.mMostLossFactor * static_cast<double>(spec.mCount) * CoresOf(spec.mDemand) *
+         estimate.count();
 }
 
 // Takes the room of work that may be stopped, and keeps it until the stopped runs are gone.
@@ -307,7 +299,7 @@
   }
 
   const eviction_plan best = eviction_search(hosts, aUnit, waiting).Run();
-  if (best.mLoss > MostLoss(aUnit, aNow)) {
+  if (best.mLoss > MostLoss(aUnit)) {
     return false;
   }
   for (const auto& [index, worker] : best.mPlaces) {
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -258,7 +258,7 @@
   void CheckClaims(ready_unit& aUnit, instant aNow);
   void ReleaseClaims(job_entry& aJob);
   double LossOf(const run_id& aRun, const run_entry& aEntry, instant aNow);
-  double MostLoss(const ready_unit& aUnit, instant aNow) const;
+  double MostLoss(const ready_unit& aUnit) const;
   bool MayStop(const ready_unit& aUnit, const run_id& aRun, const run_entry& aEntry);
   bool PlaceByEviction(ready_unit& aUnit, instant aNow);
 };
