--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -18,17 +18,11 @@
 /// Bounds that the deployment sets, and limits of our own.
 struct work_options
 {
-  milliseconds mMaxHold{ 10'000 }; ///< longest lease that workers grant; from the deployment
-  milliseconds mStopTime{ 200 };   ///< a stop takes at most this; from the deployment
-  milliseconds mGangTimeout{
-    3'000
-  }; ///< members wait this long for each other; from the deployment
-  milliseconds mCheckpointEvery{ 2'000 }; ///< of work; from the deployment
+  milliseconds mMaxHold{ 10'000 };  ///< longest lease that workers grant; from the deployment
   milliseconds mRestoreTime{ 300 }; ///< until a task goes on from a checkpoint; from the deployment
   /// Urgent work beyond a guarantee may cost at most this many times its own work in work of
   /// others: an hour of urgent work is worth about that much more than one of the rest.
   double mMostLossFactor = 4;
-  double mRemoteFactor = 3; ///< slowdown away from data or over racks; from the deployment
   /// A worker's clock may be 2% slow; the rest covers rounding.
   double mClockSlack = 1.03;
   /// A run without a new percent for this share of its declared time counts as stalled: at the
--- a/src/include/briarwind/worker_gateway.h
+++ b/src/include/briarwind/worker_gateway.h
@@ -35,11 +35,17 @@
 };
 
 /// The workers that are there, as the platform lists them.
+struct registry_listing
+{
+  std::vector<registered_worker> mWorkers;
+  std::vector<std::string> mUnreadable; ///< entries that describe no worker
+};
+
 class worker_registry
 {
 public:
   virtual ~worker_registry() = default;
-  virtual io_result<std::vector<registered_worker>> Read(instant aDeadline) = 0;
+  virtual io_result<registry_listing> Read(instant aDeadline) = 0;
 };
 
 } // namespace briarwind
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -57,6 +57,11 @@
 };
 inline constexpr event_kind kRegistryRegained{ 6023, log_level::kInfo, "registry.regained",
                                                "The list of workers is read again." };
+inline constexpr event_kind kRegistryUnreadable{
+  6024, log_level::kWarning, "registry.unreadable-entries",
+  "Entries of the registry describe no worker and are left out; the first of the new ones are "
+  "named."
+};
 inline constexpr event_kind kWorkJobKnown{
   6101, log_level::kInfo, "work.job-known",
   "The leader learnt of a job; `age_ms` since it was accepted."
@@ -182,6 +187,10 @@
 inline constexpr metric_kind kWorkPolls{ metric_type::kCounter, "briarwind_node_polls_total",
                                          "outcome",
                                          "Questions to workers about their runs, by outcome." };
+inline constexpr metric_kind kRegistryUnreadableEntries{
+  metric_type::kGauge, "briarwind_node_registry_unreadable_entries", "",
+  "Entries of the registry that describe no worker, as last read by the leader."
+};
 inline constexpr metric_kind kAdviceCalls{ metric_type::kCounter,
                                            "briarwind_node_advice_calls_total", "outcome",
                                            "Questions to the advisor by outcome." };
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -86,7 +86,7 @@
   : mRuntime(aRuntime)
   , mStore(aStore)
   , mGateway(*aOutside.mWorkers)
-  , mRegistry(*aOutside.mRegistry)
+  , mRegistry(*aOutside.mRegistry, aMetrics)
   , mAdvisor(aOutside.mAdvisor)
   , mMetrics(aMetrics)
   , mCore(aOptions)
@@ -239,21 +239,13 @@
 
 void work_driver::PollWorkers(std::int64_t aEpoch)
 {
-  bool reached = true;
   while (IsTerm(aEpoch)) {
     SleepFor(kRegistryPoll);
     const auto workers = mRegistry.Read(monotonic_clock::now() + kStoreDeadline);
-    if (!IsTerm(aEpoch)) {
-      return;
-    }
-    if (workers) {
+    if (IsTerm(aEpoch) && workers) {
       mCore.SetWorkers(workers.value(), monotonic_clock::now());
       Pump();
     }
-    if (std::exchange(reached, workers.has_value()) != workers.has_value()) {
-      LogEvent(workers ? kRegistryRegained : kRegistryLost,
-               { Field("error", workers ? std::string_view() : ToString(workers.error().mKind)) });
-    }
   }
 }
 
@@ -477,7 +469,7 @@
   }
 }
 
-bool work_driver::SettleWrite(const std::vector<progress_write>& aWrites,
+void work_driver::SettleWrite(const std::vector<progress_write>& aWrites,
                               const transaction_result& aResult)
 {
   const instant now = monotonic_clock::now();
@@ -485,7 +477,7 @@
     for (const progress_write& each : aWrites) {
       mCore.OnWritten(each.mJob, aResult.mRevision, now);
     }
-    return true;
+    return;
   }
   const auto current = [&](const std::string& aKey) -> const stored_value* {
     const auto found = std::ranges::find(aResult.mCurrent, aKey, &stored_value::mKey);
@@ -494,7 +486,7 @@
   const stored_value* leader = current(std::string(leadership::kLeaderKey));
   if (leader == nullptr || leader->mModified != mCore.Epoch()) {
     LoseLead("the store names another leader");
-    return false;
+    return;
   }
   for (const progress_write& each : aWrites) {
     const stored_value* stored = current(work_keys::Progress(each.mJob));
@@ -504,7 +496,6 @@
       mCore.OnNotWritten(each.mJob, stored == nullptr ? 0 : stored->mModified);
     }
   }
-  return true;
 }
 
 void work_driver::ForgetOld()
--- a/src/libcontrol/work_driver.h
+++ b/src/libcontrol/work_driver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "leadership.h"
+#include "registry_reader.h"
 
 #include "briarwind/operator_settings.h"
 #include "briarwind/work_core.h"
@@ -71,7 +72,7 @@
   void RunPoll(const std::string& aWorker, const poll_plan& aPlan);
   void StartWrites();
   void RunWrite(const std::vector<progress_write>& aWrites);
-  bool SettleWrite(const std::vector<progress_write>& aWrites, const transaction_result& aResult);
+  void SettleWrite(const std::vector<progress_write>& aWrites, const transaction_result& aResult);
   void ForgetOld();
   void LoseLead(std::string_view aReason);
   bool IsTerm(std::int64_t aEpoch) const { return mLead != nullptr && mCore.Epoch() == aEpoch; }
@@ -79,7 +80,7 @@
   fiber_runtime& mRuntime;
   record_store& mStore;
   worker_gateway& mGateway;
-  worker_registry& mRegistry;
+  registry_reader mRegistry;
   placement_advisor* mAdvisor;
   metrics& mMetrics;
   work_core mCore;
