Workers whose runs turn slow get nothing new

Change: a single run that moves at under 0.4 of its own best pace, on the worker's clock, keeps new runs away from its worker for 2.5 s, at most a quarter of the workers; it is used again as soon as the pace is back. Test: 'a worker that turns slow', 'gets no new runs' failed before.

--- a/src/libwork/testing/fleet_simulation.cpp
+++ b/src/libwork/testing/fleet_simulation.cpp
@@ -112,7 +112,7 @@
   if (aRun.mStopping) {
     return aNow - aRun.mStoppedAt >= kStopTakes ? std::optional(run_end::kStopped) : std::nullopt;
   }
-  aRun.mLeft -= mStandsStill ? milliseconds{ 0 } : aPassed;
+  aRun.mLeft -= mStandsStill ? milliseconds{ 0 } : aPassed / mSlowness;
   // A run that fails does so midway, before its gang is done.
   if (aRun.mFails && 2 * aRun.mLeft <= aRun.mWhole) {
     return run_end::kFailed;
--- a/src/libwork/testing/fleet_simulation.h
+++ b/src/libwork/testing/fleet_simulation.h
@@ -46,7 +46,8 @@
   std::set<std::int64_t> mLapsedEnds;
   bool mFailsAll = false;
   bool mStandsStill = false;
-  int mStarted = 0; ///< runs that began here
+  int mSlowness = 1; ///< its runs take this many times as long
+  int mStarted = 0;  ///< runs that began here
 
   milliseconds Clock(instant aNow) const;
 
--- a/src/libwork/work_core_test.cpp
+++ b/src/libwork/work_core_test.cpp
@@ -410,3 +410,33 @@
   }
   BW_CHECK(fleet.mBroken.empty());
 }
+
+BW_STORY("a worker that turns slow")
+{
+  fleet_simulation fleet(4, 1);
+  fleet.Run(milliseconds(200));
+  work_step spread = Step(4, 2);
+  spread.mPerWorkerLimit = 1;
+  fleet.Submit(Job("a", "batch", { spread }), milliseconds(6'000));
+  fleet.Run(milliseconds(2'500));
+  BW_EQUAL(std::size_t{ 1 }, fleet.Worker(0).mRuns.size());
+  fleet.Worker(0).mSlowness = 5;
+  fleet.Run(milliseconds(2'500));
+
+  BW_SECTION("gets no new runs")
+  {
+    fleet.Submit(Gang("b", "urgent", 3, 4), milliseconds(1'000));
+    fleet.Run(milliseconds(1'500));
+    BW_CHECK(fleet.StoredState("b") == work_state::kCompleted);
+    BW_EQUAL(1, fleet.Worker(0).mStarted);
+  }
+  BW_SECTION("is used again once its runs move on as before")
+  {
+    fleet.Worker(0).mSlowness = 1;
+    fleet.Run(milliseconds(2'500));
+    fleet.Submit(Gang("b", "batch", 4, 4), milliseconds(1'000));
+    fleet.Run(milliseconds(1'500));
+    BW_CHECK(fleet.StoredState("b") == work_state::kCompleted);
+  }
+  BW_CHECK(fleet.mBroken.empty());
+}
--- a/src/libwork/work_reports.cpp
+++ b/src/libwork/work_reports.cpp
@@ -78,6 +78,7 @@
     aRun.mProgressAt = aNow;
     reason = current ? std::string_view() : "no longer wanted";
   }
+  MeasurePace(aWorker, aRun, aListed.mPercent, aNow);
   if (aRun.mFirstPercent < 0) {
     aRun.mFirstPercent = aListed.mPercent;
     aRun.mFirstListed = aNow;
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -156,6 +156,7 @@
   const registered_worker& info = aWorker.mInfo;
   return aWorker.mListed && aWorker.mInTouch && aWorker.mOrphans.empty() && !info.mLeaving &&
          info.mService == aUnit.mQueue->mService && aWorker.mQuarantinedUntil <= aNow &&
+         aWorker.mSlowUntil <= aNow &&
          std::ranges::count(mSettings.mWithdrawnDomains, info.mDomain) == 0 &&
          (spec.mRequiredLabel.empty() || std::ranges::count(info.mLabels, spec.mRequiredLabel) > 0);
 }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -127,6 +127,9 @@
   instant mProgressAt;
   int mFirstPercent = -1; ///< as first listed: a run may go on from a checkpoint
   instant mFirstListed;
+  int mPacePercent = -1;        ///< where its pace was measured last
+  milliseconds mPaceClock{ 0 }; ///< and when, on the worker's clock
+  double mBestPace = 0;         ///< percent a second
   instant mStartedAt;
   milliseconds mStallTime{ 0 };
 };
@@ -151,6 +154,7 @@
   instant mLeavesAt; ///< its runs may be cut off from then on; instant(): it stays
   instant mQuarantinedUntil;
   int mFailuresInRow = 0; ///< above 0 it is tried with one run at a time
+  instant mSlowUntil;     ///< its runs have turned slow; nothing is started there until then
   std::string mBlamedFor; ///< job of the last failure that counted
   instant mStalledSince;  ///< when a run without progress was found; instant(): none
 
@@ -237,6 +241,8 @@
   void PardonFor(const std::string& aJob, const std::set<std::string>& aWorkers);
   void NoteProgress(worker_entry& aWorker, const run_entry& aRun);
   void TrustAgain(worker_entry& aWorker);
+  void MeasurePace(worker_entry& aWorker, run_entry& aRun, int aPercent, instant aNow);
+  bool MayAvoidOneMore(instant aNow) const;
   void Quarantine(worker_entry& aWorker, instant aNow, std::string_view aReason);
 
   // work_departure.cpp
