Starts without an answer are asked after at once

Its gang waits with it; urgent gangs have little over a second to spare. Ruled out: stopping it without asking (most often only the answer was lost). Change: the core asks for a second look beside the one under way when that one cannot tell; an answer that was overtaken by a later one is left out; a start counts as unanswered after 350 ms.

--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -200,6 +200,8 @@
 
   /// Nothing when the worker needs no look at present.
   std::optional<poll_plan> PlanPoll(const std::string& aWorker, instant aNow);
+  /// A second look beside one that is under way, when that one cannot tell what became of an order.
+  std::optional<poll_plan> PlanSecondPoll(const std::string& aWorker, instant aNow);
   std::vector<std::string> Workers() const;
   /// The end of a lease that starts now, on the worker's clock. To be asked right before the order
   /// leaves: the worker counts as holding such a lease from now on.
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -13,9 +13,9 @@
 // Twice within the time in which a leaving worker must get no more starts.
 constexpr milliseconds kRegistryPoll{ 700 };
 constexpr milliseconds kStoreDeadline{ 1'000 };
-// A worker that is well answers within a few milliseconds; a start that stays unanswered holds up
-// its gang, whose other members wait at most a few seconds.
-constexpr milliseconds kOrderDeadline{ 600 };
+// A worker that is well answers within a few milliseconds, also beside a busy leader within 100; a
+// start that stays unanswered holds up its gang, whose other members wait at most a few seconds.
+constexpr milliseconds kOrderDeadline{ 350 };
 constexpr milliseconds kPollSlack{ 600 };
 // An answer takes time for each worker named, behind the calls that came before.
 constexpr milliseconds kAdviceDeadline{ 2'000 };
@@ -390,25 +390,29 @@
 {
   const instant now = monotonic_clock::now();
   for (const std::string& worker : mCore.Workers()) {
-    if (mPolling.contains(worker)) {
+    const bool second = mPolling.contains(worker);
+    std::set<std::string>& underWay = second ? mSecondPolling : mPolling;
+    if (underWay.contains(worker)) {
       continue;
     }
-    if (auto plan = mCore.PlanPoll(worker, now)) {
+    auto plan = second ? mCore.PlanSecondPoll(worker, now) : mCore.PlanPoll(worker, now);
+    if (plan) {
       if (!mLead->MayOrder()) {
         plan->mLeaseUntil = milliseconds{ 0 };
       }
-      mPolling.insert(worker);
-      mRuntime.Spawn([this, worker, plan = *plan] { RunPoll(worker, plan); });
+      underWay.insert(worker);
+      mRuntime.Spawn([this, worker, plan = *plan, &underWay] { RunPoll(worker, plan, underWay); });
     }
   }
 }
 
-void work_driver::RunPoll(const std::string& aWorker, const poll_plan& aPlan)
+void work_driver::RunPoll(const std::string& aWorker, const poll_plan& aPlan,
+                          std::set<std::string>& aUnderWay)
 {
   const std::int64_t epoch = mCore.Epoch();
   const instant sent = monotonic_clock::now();
   const auto report = mGateway.Poll(aWorker, aPlan, epoch, sent + aPlan.mWait + kPollSlack);
-  mPolling.erase(aWorker);
+  aUnderWay.erase(aWorker);
   mMetrics.Count(kWorkPolls, report ? "answered" : ToString(report.error().mKind));
   if (!IsTerm(epoch)) {
     return;
--- a/src/libcontrol/work_driver.h
+++ b/src/libcontrol/work_driver.h
@@ -69,7 +69,8 @@
   void AskNext();
   void LogNote(const work_note& aNote);
   void StartPolls();
-  void RunPoll(const std::string& aWorker, const poll_plan& aPlan);
+  void RunPoll(const std::string& aWorker, const poll_plan& aPlan,
+               std::set<std::string>& aUnderWay);
   void StartWrites();
   void RunWrite(const std::vector<progress_write>& aWrites);
   void SettleWrite(const std::vector<progress_write>& aWrites, const transaction_result& aResult);
@@ -91,6 +92,7 @@
   bool mPaused = false;
   bool mPumpPending = false;
   std::set<std::string> mPolling;
+  std::set<std::string> mSecondPolling;
   std::deque<ask_advice> mQuestions;
   bool mAsking = false;
   int mOrders = 0;
--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -195,9 +195,11 @@
     return;
   }
   worker_entry& worker = found->second;
-  if (aReport.mIncarnation < worker.mInfo.mIncarnation) {
+  // An answer that was overtaken by a later one knows less.
+  if (aReport.mIncarnation < worker.mInfo.mIncarnation || aSent < worker.mReportSent) {
     return;
   }
+  worker.mReportSent = aSent;
   if (aReport.mIncarnation > worker.mInfo.mIncarnation) {
     mState->NewIncarnation(worker, aReport.mIncarnation, aNow);
   }
@@ -323,10 +325,7 @@
   if (aNow < last + pause && worker.mLastPoll != instant()) {
     return std::nullopt;
   }
-  poll_plan plan;
-  plan.mAddress = worker.mInfo.mAddress;
-  plan.mIncarnation = worker.mInfo.mIncarnation;
-  plan.mAcknowledged = worker.mAcknowledged;
+  poll_plan plan = mState->MakePlan(worker, aNow);
   const bool unclear = std::ranges::any_of(
     worker.mRuns, [](const auto& aRun) { return aRun.second.mPhase == run_phase::kUnclear; });
   const bool mayWait = worker.mInTouch && worker.mOrphans.empty() && !unclear;
@@ -335,8 +334,36 @@
   if (worker.mInTouch && ordered) {
     plan.mLeaseUntil = GrantLease(aWorker, aNow);
   }
-  worker.mAckDue = false;
-  worker.mLastPoll = aNow;
+  return plan;
+}
+
+// A look that waits for an end may have left before the order in question. Until the order's fate
+// is known its task cannot be started elsewhere, and a gang waits for it.
+std::optional<poll_plan> work_core::PlanSecondPoll(const std::string& aWorker, instant aNow)
+{
+  const auto found = mState->mWorkers.find(aWorker);
+  if (found == mState->mWorkers.end() || !mState->mInTerm || !found->second.mInTouch) {
+    return std::nullopt;
+  }
+  worker_entry& worker = found->second;
+  const bool asks = std::ranges::any_of(worker.mRuns, [&](const auto& aRun) {
+    const run_entry& run = aRun.second;
+    const bool unclear = run.mPhase == run_phase::kUnclear && run.mPhaseSince > worker.mLastPoll;
+    const bool stopped = run.mPhase == run_phase::kStopping && run.mFirstPercent < 0 &&
+                         run.mStopAnswered && run.mStopAnsweredAt > worker.mLastPoll;
+    return unclear || stopped;
+  });
+  return asks ? std::optional(mState->MakePlan(worker, aNow)) : std::nullopt;
+}
+
+poll_plan work_core::state::MakePlan(worker_entry& aWorker, instant aNow) const
+{
+  poll_plan plan;
+  plan.mAddress = aWorker.mInfo.mAddress;
+  plan.mIncarnation = aWorker.mInfo.mIncarnation;
+  plan.mAcknowledged = aWorker.mAcknowledged;
+  aWorker.mAckDue = false;
+  aWorker.mLastPoll = aNow;
   return plan;
 }
 
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -142,6 +142,7 @@
   instant mClockAt;      ///< when mInfo.mClock was read
   instant mLastHeard;
   instant mLastPoll;
+  instant mReportSent;      ///< when the question of the newest report had left
   instant mLeaseSurelyOver; ///< nothing ordered so far can run after this
   std::map<run_id, run_entry> mRuns;
   std::set<run_id> mOrphans; ///< runs it lists that nobody here has ordered
@@ -233,6 +234,7 @@
                                   const listed_run& aListed, instant aNow);
   void ApplyEnds(worker_entry& aWorker, const worker_report& aReport, instant aNow);
   void StopOrphans(worker_entry& aWorker, const worker_report& aReport);
+  poll_plan MakePlan(worker_entry& aWorker, instant aNow) const;
   void NewIncarnation(worker_entry& aWorker, std::int64_t aIncarnation, instant aNow);
 
   // work_health.cpp
