Workers that fail: no pardon by doubt, retries go to workers that did well

Change: a job's failures count against four workers at most and clear none; a worker without a further failure is trusted after 5 s; after a failure a step goes first to workers that ended a run well in the last 3 s.

--- a/src/libwork/work_health.cpp
+++ b/src/libwork/work_health.cpp
@@ -7,6 +7,11 @@
 namespace {
 
 constexpr int kMostDoublings = 6;
+// Workers that one job's failures may be held against.
+constexpr std::size_t kMostBlamed = 4;
+// A worker without a further failure is trusted again after this, tried or not: spells in which
+// workers fail all they start last 4 to 8 s.
+constexpr milliseconds kProbation{ 5'000 };
 
 // A pace is measured over at least this: a poll and a little more.
 constexpr milliseconds kPaceWindow{ 1'000 };
@@ -22,38 +27,24 @@
 } // namespace
 
 // Whether a worker or the work is at fault is not told. Runs of one job that fail together say no
-// more than one of them. A task that fails on a second worker is itself the likelier cause: then
-// neither worker is held to it.
+// more of a worker than one of them, and a job is held against a few workers at most: one that can
+// never be done would fail on all of them.
 void work_core::state::BlameFor(worker_entry& aWorker, const run_id& aRun, std::string_view aReason,
                                 instant aNow)
 {
-  const task_entry* task = FindTask(aRun.mTask);
-  const std::string& id = aWorker.mInfo.mId;
-  if (task != nullptr && std::ranges::any_of(task->mFailedOn, [&](const std::string& aOther) {
-        return aOther != id;
-      })) {
-    PardonFor(aRun.mTask.mJob, task->mFailedOn);
+  job_entry* job = FindJob(aRun.mTask.mJob);
+  if (job == nullptr ||
+      (aWorker.mQuarantinedUntil > aNow && aWorker.mBlamedFor == aRun.mTask.mJob)) {
     return;
   }
-  if (aWorker.mQuarantinedUntil > aNow && aWorker.mBlamedFor == aRun.mTask.mJob) {
+  if (job->mBlamedOn.size() >= kMostBlamed && !job->mBlamedOn.contains(aWorker.mInfo.mId)) {
     return;
   }
+  job->mBlamedOn.insert(aWorker.mInfo.mId);
   aWorker.mBlamedFor = aRun.mTask.mJob;
   Quarantine(aWorker, aNow, aReason);
 }
 
-// Those of the workers whose only failure of late was one of the job's.
-void work_core::state::PardonFor(const std::string& aJob, const std::set<std::string>& aWorkers)
-{
-  for (const std::string& each : aWorkers) {
-    const auto found = mWorkers.find(each);
-    if (found != mWorkers.end() && found->second.mFailuresInRow == 1 &&
-        found->second.mBlamedFor == aJob) {
-      TrustAgain(found->second);
-    }
-  }
-}
-
 void work_core::state::TrustAgain(worker_entry& aWorker)
 {
   mReplan = mReplan || aWorker.mFailuresInRow > 0;
@@ -126,6 +117,7 @@
     std::min(mOptions.mQuarantine * (1 << doublings), mOptions.mQuarantineCap);
   ++aWorker.mFailuresInRow;
   aWorker.mQuarantinedUntil = aNow + wait;
+  aWorker.mProbedUntil = aWorker.mQuarantinedUntil + kProbation;
   Note(work_note_kind::kWorkerQuarantined, {}, {}, aWorker.mInfo.mId, aReason, wait);
 }
 
--- a/src/libwork/work_placement.cpp
+++ b/src/libwork/work_placement.cpp
@@ -29,11 +29,12 @@
       open.push_back({ worker, fits });
     }
   }
-  std::ranges::sort(open, [](const open_worker& aLeft, const open_worker& aRight) {
-    const auto key = [](const open_worker& aOpen) {
+  std::ranges::sort(open, [&](const open_worker& aLeft, const open_worker& aRight) {
+    const auto key = [&](const open_worker& aOpen) {
       const task_demand free = aOpen.mWorker->Free();
-      return std::tuple(aOpen.mWorker->mFailuresInRow, free.mAccelerators, free.mMilliCores,
-                        std::string_view(aOpen.mWorker->mInfo.mId));
+      return std::tuple(aOpen.mWorker->mFailuresInRow,
+                        aOpen.mWorker->mLastDone < aUnit.mProvenSince, free.mAccelerators,
+                        free.mMilliCores, std::string_view(aOpen.mWorker->mInfo.mId));
     };
     return key(aLeft) < key(aRight);
   });
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -41,6 +41,7 @@
        current ? ToString(aHow) : "superseded");
   if (aHow == run_end::kDone) {
     TrustAgain(aWorker);
+    aWorker.mLastDone = aNow;
   }
   if (!current) {
     return;
@@ -139,9 +140,6 @@
   const int attempts =
     queue == mSettings.mQueues.end() ? job->mSpec.mPolicy.mAttempts : queue->second.mAttempts;
   if (!spec.mLasting && failures >= attempts) {
-    for (const task_entry& each : step->mTasks) {
-      PardonFor(aRun.mTask.mJob, each.mFailedOn);
-    }
     Finish(*job, work_state::kFailed,
            fmt::format("{} failed {} times", ToString(aRun.mTask), failures), aNow);
   }
@@ -318,6 +316,9 @@
       WorkerSilent(id, worker, aNow);
     }
     SendStops(worker, aNow);
+    if (worker.mFailuresInRow > 0 && worker.mProbedUntil <= aNow) {
+      TrustAgain(worker);
+    }
   }
   std::erase_if(mWorkers, [](const auto& aWorker) {
     const worker_entry& worker = aWorker.second;
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -13,8 +13,11 @@
 constexpr int kRankGuaranteed = 0;
 constexpr int kRankUrgent = 1;
 constexpr int kRankOther = 2;
+constexpr int kRankHopeless = 100; // added: behind all others
 // A job that is later than this many times its objective earns its caller nothing any more.
 constexpr int kHopelessFactor = 3;
+// A worker that ended a run well within this is unlikely to fail all it starts.
+constexpr milliseconds kProvenWithin{ 3'000 };
 
 const work_queue& QueueOf(const work_settings& aSettings, const job_entry& aJob)
 {
@@ -53,6 +56,13 @@
   });
 }
 
+bool HasFailed(const step_entry& aStep)
+{
+  return aStep.mFailedRuns > 0 || std::ranges::any_of(aStep.mTasks, [](const task_entry& aTask) {
+           return aTask.mFailures > 0;
+         });
+}
+
 int AcceleratorsOf(const work_job& aJob)
 {
   int sum = 0;
@@ -103,11 +113,18 @@
           const bool hopeless = aNow > job.mKnownSince + kHopelessFactor * objective;
           const bool probes =
             !job.mSpec.mSteps[step].mGang || aNow - entry.mReadySince >= mOptions.mProbeWait;
-          units.push_back({ &job, &occurrence, static_cast<int>(step), &queue, false, probes,
-                            job.mKnownSince + objective,
-                            queue.mPriority == 0
-                              ? kRankUrgent
-                              : kRankOther + queue.mPriority + (hopeless ? 100 : 0) });
+          ready_unit unit;
+          unit.mJob = &job;
+          unit.mOccurrence = &occurrence;
+          unit.mStep = static_cast<int>(step);
+          unit.mQueue = &queue;
+          unit.mTakesProbes = probes;
+          unit.mProvenSince = HasFailed(entry) ? aNow - kProvenWithin : instant();
+          unit.mObjective = job.mKnownSince + objective;
+          unit.mRank = queue.mPriority == 0
+                         ? kRankUrgent
+                         : kRankOther + queue.mPriority + (hopeless ? kRankHopeless : 0);
+          units.push_back(unit);
         }
       }
     }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -87,6 +87,7 @@
   instant mKnownSince;
   instant mOverSince;
   std::string mReason;
+  std::set<std::string> mBlamedOn;          ///< workers that its failures were held against
   std::list<occurrence_entry> mOccurrences; ///< those due and not over
   int mNextOccurrence = 0;                  ///< the first that is not due yet
   std::set<int> mOccurrencesOver;
@@ -154,6 +155,8 @@
   bool mAckDue = false;
   instant mLeavesAt; ///< its runs may be cut off from then on; instant(): it stays
   instant mQuarantinedUntil;
+  instant mProbedUntil;   ///< until then it is tried with one run at a time
+  instant mLastDone;      ///< when a run ended well there
   int mFailuresInRow = 0; ///< above 0 it is tried with one run at a time
   instant mSlowUntil;     ///< its runs have turned slow; nothing is started there until then
   std::string mBlamedFor; ///< job of the last failure that counted
@@ -171,6 +174,7 @@
   const work_queue* mQueue = nullptr;
   bool mGuaranteed = false;  ///< priority 0 within its organisation's guarantee
   bool mTakesProbes = false; ///< may be tried on a worker whose last run failed
+  instant mProvenSince;      ///< after a failure: goes first to workers that did well since then
   instant mObjective;        ///< when it should be done
   int mRank = 0;             ///< lower goes first
 
@@ -240,7 +244,6 @@
   // work_health.cpp
   void BlameFor(worker_entry& aWorker, const run_id& aRun, std::string_view aReason, instant aNow);
   void BlameForStall(worker_entry& aWorker, instant aNow);
-  void PardonFor(const std::string& aJob, const std::set<std::string>& aWorkers);
   void NoteProgress(worker_entry& aWorker, const run_entry& aRun);
   void TrustAgain(worker_entry& aWorker);
   void MeasurePace(worker_entry& aWorker, run_entry& aRun, int aPercent, instant aNow);
