--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -43,8 +43,9 @@
   /// A poll waits this long for the next end: short enough to see a stall in two of them, long
   /// enough that polls stay few beside starts.
   milliseconds mPollWait{ 800 };
-  /// What the registry says may be this old: the interval in which it is read.
-  milliseconds mRegistryAge{ 700 };
+  /// The registry is read this often, so what it says may be this old. Twice within the shortest
+  /// time in which a leaving worker must get no more starts.
+  milliseconds mRegistryInterval{ 700 };
   /// Ends are remembered this long after a job is over; from the deployment, with a margin.
   milliseconds mKeepFinished{ 150'000 };
 };
--- a/src/include/briarwind/worker_gateway.h
+++ b/src/include/briarwind/worker_gateway.h
@@ -34,13 +34,14 @@
   virtual io_result<placement_advice> Ask(const ask_advice& aQuestion, instant aDeadline) = 0;
 };
 
-/// The workers that are there, as the platform lists them.
+/// What the registry held at one reading.
 struct registry_listing
 {
   std::vector<registered_worker> mWorkers;
   std::vector<std::string> mUnreadable; ///< entries that describe no worker
 };
 
+/// The workers that are there, as the platform lists them.
 class worker_registry
 {
 public:
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -1,6 +1,7 @@
 #include "work_driver.h"
 
 #include "control_events.h"
+#include "work_note_events.h"
 
 #include <algorithm>
 #include <ranges>
@@ -10,10 +11,8 @@
 namespace {
 
 constexpr milliseconds kTick{ 100 };
-// Twice within the time in which a leaving worker must get no more starts.
-constexpr milliseconds kRegistryPoll{ 700 };
 constexpr milliseconds kStoreDeadline{ 1'000 };
-// A worker that is well answers within a few milliseconds, also beside a busy leader within 100; a
+// A worker that is well answers within a few milliseconds, on links of 3 ms one way at most; a
 // start that stays unanswered holds up its gang, whose other members wait at most a few seconds.
 constexpr milliseconds kOrderDeadline{ 350 };
 constexpr milliseconds kPollSlack{ 600 };
@@ -31,35 +30,6 @@
   return std::chrono::system_clock::now();
 }
 
-const event_kind& EventOf(work_note_kind aKind)
-{
-  switch (aKind) {
-    case work_note_kind::kJobKnown:
-      return kWorkJobKnown;
-    case work_note_kind::kStarted:
-      return kWorkStarted;
-    case work_note_kind::kStartFailed:
-      return kWorkStartFailed;
-    case work_note_kind::kEnded:
-      return kWorkEnded;
-    case work_note_kind::kEvicted:
-      return kWorkEvicted;
-    case work_note_kind::kStopped:
-      return kWorkStopped;
-    case work_note_kind::kLost:
-      return kWorkLost;
-    case work_note_kind::kJobOver:
-      return kWorkJobOver;
-    case work_note_kind::kWorkerRestored:
-      return kWorkWorkerRestored;
-    case work_note_kind::kWorkerLost:
-      return kWorkWorkerLost;
-    case work_note_kind::kWorkerQuarantined:
-      return kWorkWorkerQuarantined;
-  }
-  return kWorkLost;
-}
-
 } // namespace
 
 namespace work_keys {
@@ -89,6 +59,7 @@
   , mRegistry(*aOutside.mRegistry, aMetrics)
   , mAdvisor(aOutside.mAdvisor)
   , mMetrics(aMetrics)
+  , mRegistryInterval(aOptions.mRegistryInterval)
   , mCore(aOptions)
 {
 }
@@ -240,7 +211,7 @@
 void work_driver::PollWorkers(std::int64_t aEpoch)
 {
   while (IsTerm(aEpoch)) {
-    SleepFor(kRegistryPoll);
+    SleepFor(mRegistryInterval);
     const auto workers = mRegistry.Read(monotonic_clock::now() + kStoreDeadline);
     if (IsTerm(aEpoch) && workers) {
       mCore.SetWorkers(workers.value(), monotonic_clock::now());
--- a/src/libcontrol/work_driver.h
+++ b/src/libcontrol/work_driver.h
@@ -84,6 +84,7 @@
   registry_reader mRegistry;
   placement_advisor* mAdvisor;
   metrics& mMetrics;
+  milliseconds mRegistryInterval;
   work_core mCore;
   work_settings mSettings;
   const leadership* mLead = nullptr;
--- /dev/null
+++ b/src/libwork/testing/simulated_worker.cpp
@@ -0,0 +1,142 @@
+#include "simulated_worker.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace briarwind::testing {
+
+namespace {
+
+constexpr milliseconds kStopTakes{ 120 };
+constexpr milliseconds kMaxHold{ 10'000 };
+
+} // namespace
+
+simulated_worker::simulated_worker(registered_worker aInfo, instant aBorn)
+  : mInfo(std::move(aInfo))
+  , mBorn(aBorn)
+  , mAdvanced(aBorn)
+{
+}
+
+milliseconds simulated_worker::Clock(instant aNow) const
+{
+  return std::chrono::duration_cast<milliseconds>(aNow - mBorn);
+}
+
+start_outcome simulated_worker::Start(const run_id& aRun, std::int64_t aEpoch, milliseconds aUntil,
+                                      milliseconds aWork, instant aNow)
+{
+  if (aEpoch < mFence) {
+    return start_outcome::kFenced;
+  }
+  mFence = aEpoch;
+  if (mRuns.contains(aRun)) {
+    return start_outcome::kStarted;
+  }
+  const auto ended = mHighestEnded.find(aRun.mTask);
+  if (ended != mHighestEnded.end() && aRun.mRun <= ended->second) {
+    return start_outcome::kOldRun;
+  }
+  if (aUntil < Clock(aNow)) {
+    return start_outcome::kLate;
+  }
+  mLeaseUntil = std::max(mLeaseUntil, std::min(aUntil, Clock(aNow) + kMaxHold));
+  mRuns[aRun] = { aWork, aWork, {}, false, mFailsAll };
+  return start_outcome::kStarted;
+}
+
+stop_outcome simulated_worker::Stop(const run_id& aRun, std::int64_t aEpoch, instant aNow)
+{
+  if (aEpoch < mFence) {
+    return stop_outcome::kFenced;
+  }
+  mFence = aEpoch;
+  run_number& highest = mHighestEnded[aRun.mTask];
+  highest = std::max(highest, aRun.mRun);
+  if (const auto found = mRuns.find(aRun); found != mRuns.end() && !found->second.mStopping) {
+    found->second.mStopping = true;
+    found->second.mStoppedAt = aNow;
+  }
+  return stop_outcome::kStopping;
+}
+
+std::optional<worker_report> simulated_worker::Poll(const poll_plan& aPlan, std::int64_t aEpoch,
+                                                    instant aNow)
+{
+  if (aEpoch < mFence) {
+    return std::nullopt;
+  }
+  mFence = aEpoch;
+  if (aPlan.mLeaseUntil.count() > 0) {
+    mLeaseUntil = std::max(mLeaseUntil, std::min(aPlan.mLeaseUntil, Clock(aNow) + kMaxHold));
+  }
+  std::erase_if(mEnds, [&](const listed_end& aEnd) { return aEnd.mNumber <= aPlan.mAcknowledged; });
+  worker_report report;
+  report.mIncarnation = mInfo.mIncarnation;
+  report.mClock = Clock(aNow);
+  for (const auto& [id, live] : mRuns) {
+    const int percent = static_cast<int>(100 * (live.mWhole - live.mLeft) / live.mWhole);
+    report.mRunning.push_back({ id, {}, percent });
+  }
+  report.mEnds = mEnds;
+  return report;
+}
+
+void simulated_worker::End(const run_id& aRun, run_end aHow)
+{
+  run_number& highest = mHighestEnded[aRun.mTask];
+  highest = std::max(highest, aRun.mRun);
+  mEnds.push_back({ ++mLastEnd, aRun, aHow, {} });
+}
+
+std::optional<run_end> simulated_worker::AdvanceRun(live_run& aRun, milliseconds aPassed,
+                                                    instant aNow) const
+{
+  if (mLeaseUntil < Clock(aNow)) {
+    return run_end::kLapsed;
+  }
+  if (aRun.mStopping) {
+    return aNow - aRun.mStoppedAt >= kStopTakes ? std::optional(run_end::kStopped) : std::nullopt;
+  }
+  aRun.mLeft -= mStandsStill ? milliseconds{ 0 } : aPassed / mSlowness;
+  // A run that fails does so midway, before its gang is done.
+  if (aRun.mFails && 2 * aRun.mLeft <= aRun.mWhole) {
+    return run_end::kFailed;
+  }
+  return aRun.mLeft.count() > 0 ? std::nullopt : std::optional(run_end::kDone);
+}
+
+void simulated_worker::Advance(instant aNow)
+{
+  const auto passed = std::chrono::duration_cast<milliseconds>(aNow - mAdvanced);
+  mAdvanced = aNow;
+  for (auto each = mRuns.begin(); each != mRuns.end();) {
+    if (const auto how = AdvanceRun(each->second, passed, aNow)) {
+      End(each->first, *how);
+      each = mRuns.erase(each);
+    } else {
+      ++each;
+    }
+  }
+  if (mLeaseUntil < Clock(aNow)) {
+    std::ranges::transform(mEnds, std::inserter(mLapsedEnds, mLapsedEnds.end()),
+                           &listed_end::mNumber);
+  }
+}
+
+void simulated_worker::Crash(instant aNow)
+{
+  mRuns.clear();
+  mEnds.clear();
+  mLapsedEnds.clear();
+  mHighestEnded.clear();
+  mLastEnd = 0;
+  mFence = 0;
+  mLeaseUntil = milliseconds{ 0 };
+  mBorn = aNow;
+  ++mInfo.mIncarnation;
+}
+
+} // namespace briarwind::testing
--- a/src/libwork/work_departure.cpp
+++ b/src/libwork/work_departure.cpp
@@ -21,11 +21,8 @@
     const auto took = aEntry.mProgressAt - aEntry.mFirstListed;
     return aEntry.mProgressAt + took * (kWhole - aEntry.mPercent) / done <= aBy;
   }
-  const job_entry* job = FindJob(aRun.mTask.mJob);
-  return job != nullptr &&
-         aEntry.mStartedAt +
-             job->mSpec.mSteps[static_cast<std::size_t>(aRun.mTask.mStep)].mEstimate <=
-           aBy;
+  const work_step* step = FindSpec(aRun.mTask);
+  return step != nullptr && aEntry.mStartedAt + step->mEstimate <= aBy;
 }
 
 // A worker that leaves cuts off what still runs there, and one that is gone answers nothing: its
@@ -37,13 +34,12 @@
     aWorker.mLeavesAt = {};
     return;
   }
-  const instant leaves = aNow + *aWorker.mInfo.mStaysFor - mOptions.mRegistryAge;
+  const instant leaves = aNow + *aWorker.mInfo.mStaysFor - mOptions.mRegistryInterval;
   aWorker.mLeavesAt = aWorker.mLeavesAt == instant() ? leaves : std::min(leaves, aWorker.mLeavesAt);
   std::vector<run_id> late;
   for (const auto& [id, run] : aWorker.mRuns) {
-    const job_entry* job = FindJob(id.mTask.mJob);
-    const bool lasts =
-      job != nullptr && job->mSpec.mSteps[static_cast<std::size_t>(id.mTask.mStep)].mLasting;
+    const work_step* step = FindSpec(id.mTask);
+    const bool lasts = step != nullptr && step->mLasting;
     if (run.mPhase == run_phase::kRunning && !lasts && !EndsBefore(id, run, aWorker.mLeavesAt)) {
       late.push_back(id);
     }
--- a/src/libwork/work_eviction.cpp
+++ b/src/libwork/work_eviction.cpp
@@ -34,12 +34,10 @@
   int mLimit = 0;
 };
 
-using run_stop = std::pair<worker_entry*, run_id>;
-
 struct eviction_plan
 {
   std::vector<task_place> mPlaces;
-  std::vector<run_stop> mStops;
+  std::vector<std::pair<worker_entry*, run_id>> mStops;
   std::set<const step_entry*> mGangs; ///< those that the plan stops
   double mLoss = 0;
 };
@@ -57,22 +55,16 @@
          kCoresPerAccelerator * static_cast<double>(aDemand.mAccelerators);
 }
 
-// Once one member is stopped, the work of its whole gang is lost and the others' room comes free.
-double LossWithin(const victim& aVictim, const std::set<const step_entry*>& aGangs)
-{
-  return aGangs.contains(aVictim.mGang) ? 0 : aVictim.mLoss;
-}
-
 // The cheapest victims for their accelerators until one more task fits; nothing when it never does.
+// Once a member is stopped, the work of its gang is lost and the others' room comes free.
 std::optional<room_offer> OfferOf(const host_plan& aHost, const task_demand& aDemand,
-                                  const std::set<const step_entry*>& aGangs)
+                                  std::set<const step_entry*> aGangs)
 {
   room_offer offer;
   task_demand room = aHost.mRoom;
-  std::set<const step_entry*> gangs;
   const auto lossOf = [&](std::size_t aIndex) {
     const victim& each = aHost.mVictims[aIndex];
-    return gangs.contains(each.mGang) ? 0 : LossWithin(each, aGangs);
+    return aGangs.contains(each.mGang) ? 0 : each.mLoss;
   };
   std::vector<std::size_t> left(aHost.mVictims.size());
   std::iota(left.begin(), left.end(), std::size_t{ 0 });
@@ -88,7 +80,7 @@
     offer.mChosen.push_back(*next);
     room += chosen.mEntry->mDemand;
     if (chosen.mGang != nullptr) {
-      gangs.insert(chosen.mGang);
+      aGangs.insert(chosen.mGang);
     }
     left.erase(next);
   }
--- a/src/libwork/work_health.cpp
+++ b/src/libwork/work_health.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr int kMostDoublings = 6;
-// Workers that one job's failures may be held against.
+// Workers that one job's failures may be held against: as many as the attempts of the queues seen.
 constexpr std::size_t kMostBlamed = 4;
 // A worker without a further failure is trusted again after this, tried or not: spells in which
 // workers fail all they start last 4 to 8 s.
@@ -17,11 +17,12 @@
 constexpr milliseconds kPaceWindow{ 1'000 };
 // Percents that a run should have moved on in it; they are whole numbers.
 constexpr double kTellingPercents = 5;
-// Below this part of its best pace a run counts as slowed. The kinds of workers differ by less.
+// Below this part of its best pace a run counts as slowed: workers turn four to seven times slower.
 constexpr double kSlowPace = 0.4;
-// How long a slow worker gets nothing new; each further slow measurement begins it anew.
+// How long a slow worker gets nothing new: two measurements and a poll, so that it stays avoided
+// while it is slow.
 constexpr milliseconds kSlowHold{ 2'500 };
-// At most one in this many workers is avoided.
+// At most one in this many workers is avoided: more than the sixth that turned slow at a time.
 constexpr int kMostAvoided = 4;
 
 } // namespace
@@ -89,10 +90,7 @@
   const double pace = (aPercent - aRun.mPacePercent) / passed.count();
   const bool telling = aRun.mBestPace * passed.count() >= kTellingPercents;
   if (telling && pace < kSlowPace * aRun.mBestPace) {
-    if (aWorker.mSlowUntil <= aNow && MayAvoidOneMore(aNow)) {
-      Note(work_note_kind::kWorkerQuarantined, {}, {}, aWorker.mInfo.mId, "turned slow", kSlowHold);
-    }
-    aWorker.mSlowUntil = MayAvoidOneMore(aNow) ? aNow + kSlowHold : aWorker.mSlowUntil;
+    AvoidSlow(aWorker, aNow);
   } else if (telling && aWorker.mSlowUntil > aNow) {
     aWorker.mSlowUntil = {};
     mReplan = true;
@@ -102,12 +100,18 @@
   aRun.mPaceClock = clock;
 }
 
-// When many turn slow together there is no better place.
-bool work_core::state::MayAvoidOneMore(instant aNow) const
+// When many turn slow together there is no better place for new runs.
+void work_core::state::AvoidSlow(worker_entry& aWorker, instant aNow)
 {
-  const auto slow = std::ranges::count_if(
-    mWorkers, [&](const auto& aWorker) { return aWorker.second.mSlowUntil > aNow; });
-  return static_cast<std::size_t>(kMostAvoided * slow) < mWorkers.size();
+  if (aWorker.mSlowUntil <= aNow) {
+    const auto slow = std::ranges::count_if(
+      mWorkers, [&](const auto& aEach) { return aEach.second.mSlowUntil > aNow; });
+    if (static_cast<std::size_t>(kMostAvoided * slow) >= mWorkers.size()) {
+      return;
+    }
+    Note(work_note_kind::kWorkerQuarantined, {}, {}, aWorker.mInfo.mId, "turned slow", kSlowHold);
+  }
+  aWorker.mSlowUntil = aNow + kSlowHold;
 }
 
 void work_core::state::Quarantine(worker_entry& aWorker, instant aNow, std::string_view aReason)
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -55,6 +55,13 @@
                                                                     : &occurrence->mSteps[step];
 }
 
+const work_step* work_core::state::FindSpec(const task_id& aTask)
+{
+  const job_entry* job = FindJob(aTask.mJob);
+  const auto step = static_cast<std::size_t>(aTask.mStep);
+  return job == nullptr || step >= job->mSpec.mSteps.size() ? nullptr : &job->mSpec.mSteps[step];
+}
+
 task_entry* work_core::state::FindTask(const task_id& aTask)
 {
   step_entry* step = FindStep(aTask);
--- /dev/null
+++ b/src/libwork/work_poll_test.cpp
@@ -0,0 +1,88 @@
+#include "briarwind/work_core.h"
+#include "testing/sample_jobs.h"
+
+#include "briarwind/testing.h"
+
+#include <algorithm>
+#include <optional>
+#include <variant>
+
+using namespace briarwind;
+using namespace briarwind::testing;
+
+BW_STORY("a start without an answer while a look at its worker is under way")
+{
+  work_core core;
+  instant now = instant() + std::chrono::hours(1);
+  const wall_time wall{ std::chrono::hours(1) };
+  registered_worker info;
+  info.mId = "w";
+  info.mService = "pool";
+  info.mAddress = "10.0.0.1:80";
+  info.mCapacity = { 8, 128'000, 262'144 };
+  info.mIncarnation = 1;
+  work_settings settings;
+  settings.mQueues["batch"] = { "pool", 1, 3, 3, milliseconds(1'000) };
+  core.BeginTerm(5, now);
+  core.SetSettings(settings, now);
+  core.SetWorkers({ info }, now);
+  worker_report idle;
+  idle.mIncarnation = 1;
+  core.OnReport("w", idle, now, now);
+  core.AddJob({ Job("a", "batch", { Step(1, 1) }), false, {}, 0 }, now, wall);
+  const auto nextStart = [&]() -> std::optional<start_run> {
+    core.Decide(now, wall);
+    for (const progress_write& each : core.TakeWrites(16)) {
+      core.OnWritten(each.mJob, each.mExpected + 1, now);
+    }
+    for (const work_action& each : core.TakeActions()) {
+      if (const auto* start = std::get_if<start_run>(&each)) {
+        return *start;
+      }
+    }
+    return std::nullopt;
+  };
+  const auto first = nextStart();
+  BW_CHECK(first.has_value());
+  const auto waiting = core.PlanPoll("w", now);
+  BW_CHECK(waiting && waiting->mWait.count() > 0);
+  BW_CHECK(!core.PlanSecondPoll("w", now));
+  now += milliseconds(350);
+  core.OnStarted(*first, start_outcome::kUnknown, now - milliseconds(350), now);
+
+  BW_SECTION("is asked after at once, and but once")
+  {
+    now += milliseconds(1);
+    const auto second = core.PlanSecondPoll("w", now);
+    BW_CHECK(second && second->mWait.count() == 0);
+    BW_CHECK(!core.PlanSecondPoll("w", now));
+
+    BW_SECTION("so that its task is started again within a few round trips")
+    {
+      core.OnReport("w", idle, now, now + milliseconds(1));
+      const auto actions = core.TakeActions();
+      const auto stop = std::ranges::find_if(
+        actions, [](const auto& aAction) { return std::holds_alternative<stop_run>(aAction); });
+      BW_CHECK(stop != actions.end());
+      now += milliseconds(2);
+      core.OnStopped(std::get<stop_run>(*stop), stop_outcome::kStopping, now, now);
+      now += milliseconds(1);
+      BW_CHECK(core.PlanSecondPoll("w", now).has_value());
+      core.OnReport("w", idle, now, now + milliseconds(1));
+      now += milliseconds(2);
+      const auto again = nextStart();
+      BW_CHECK(again && again->mRun.mRun > first->mRun.mRun);
+    }
+  }
+  BW_SECTION("is not judged by an answer that left before")
+  {
+    now += milliseconds(1);
+    BW_CHECK(core.PlanSecondPoll("w", now).has_value());
+    worker_report running = idle;
+    running.mRunning.push_back({ first->mRun, {}, 3 });
+    core.OnReport("w", running, now, now + milliseconds(1));
+    core.OnReport("w", idle, now - milliseconds(351), now + milliseconds(2));
+    BW_CHECK(!nextStart());
+    BW_EQUAL(1, core.Counts().mLiveRuns);
+  }
+}
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -211,6 +211,7 @@
   task_entry* FindTask(const task_id& aTask);
   job_entry* FindJob(const std::string& aJob);
   step_entry* FindStep(const task_id& aTask);
+  const work_step* FindSpec(const task_id& aTask);
 
   // work_runs.cpp
   void RunEnded(worker_entry& aWorker, const run_id& aRun, run_end aHow,
@@ -247,7 +248,7 @@
   void NoteProgress(worker_entry& aWorker, const run_entry& aRun);
   void TrustAgain(worker_entry& aWorker);
   void MeasurePace(worker_entry& aWorker, run_entry& aRun, int aPercent, instant aNow);
-  bool MayAvoidOneMore(instant aNow) const;
+  void AvoidSlow(worker_entry& aWorker, instant aNow);
   void Quarantine(worker_entry& aWorker, instant aNow, std::string_view aReason);
 
   // work_departure.cpp
