Overtaken answers: a story that fails without the guard

Cause: 'is not judged by an answer that left before' passes with the guard taken out (mutation run), since when an answer left already keeps it from judging a start. Change: one more section, where the older answer lists a run whose end came first; without the guard the core orders a stop. It failed with the guard taken out and passes with it.

--- a/src/libwork/work_poll_test.cpp
+++ b/src/libwork/work_poll_test.cpp
@@ -85,4 +85,19 @@
     BW_CHECK(!nextStart());
     BW_EQUAL(1, core.Counts().mLiveRuns);
   }
+  BW_SECTION("has its end kept when an answer that left before comes after it")
+  {
+    now += milliseconds(1);
+    BW_CHECK(core.PlanSecondPoll("w", now).has_value());
+    worker_report ended = idle;
+    ended.mEnds.push_back({ 1, first->mRun, run_end::kDone, {} });
+    core.OnReport("w", ended, now, now + milliseconds(1));
+    static_cast<void>(core.TakeActions());
+    worker_report running = idle;
+    running.mRunning.push_back({ first->mRun, {}, 3 });
+    core.OnReport("w", running, now - milliseconds(351), now + milliseconds(2));
+    BW_CHECK(std::ranges::none_of(core.TakeActions(), [](const auto& aAction) {
+      return std::holds_alternative<stop_run>(aAction);
+    }));
+  }
 }
