Messages that are not as agreed: no number takes a process down

Cause: numbers were read with to_number<std::int64_t>(), which throws on a fraction or a number out of range, and an exception in a fiber ends the process. One submission with "count":1.5, one entry of the registry by another writer with a fraction in clock_ms, or one such row of a worker's list stopped the host; the registry's entry would have stopped each leader in turn. Counts beyond an int were cut off silently ( tasks became 1), and one body of 256 KB could ask for hundreds of millions of tasks, which each leader in turn keeps in memory. Ruled out: a catch around each fiber (a loop that ended would be missed in silence). An exception that leaves a handler ends its connection, which tells the caller nothing that may be untrue, with a counter and a log line; refusals of the servers are counted on the node.

--- a/src/include/briarwind/http_server.h
+++ b/src/include/briarwind/http_server.h
@@ -33,6 +33,7 @@
   kHeaderTooLarge,
   kTimeout,
   kMalformed,
+  kHandlerFailed, ///< an exception left the handler; the connection ends without an answer
 };
 
 std::string_view ToString(http_server_refusal aRefusal);
--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -28,6 +28,7 @@
   kNodeStopping,       kNodeStopped,
   kNodeReady,          kNodeReloaded,
   kNodeReloadFailed,   kLogLinesDropped,
+  kRequestFailed,
 };
 
 constexpr std::array kMetrics{
@@ -46,6 +47,7 @@
   kWorkNotes,
   kCallerCalls,
   kCallerRefusals,
+  kHttpRefusals,
   kCallerTime,
   kPeerCalls,
 };
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -152,6 +152,11 @@
   6406, log_level::kError, "node.reload-failed",
   "The settings file changed and cannot be used; the former settings hold."
 };
+inline constexpr event_kind kRequestFailed{
+  6408, log_level::kError, "node.request-failed",
+  "An unexpected error ended the connection of a request to the server in `server`; the process "
+  "goes on."
+};
 inline constexpr event_kind kLogLinesDropped{
   6407, log_level::kWarning, "log.dropped",
   "Lines that were not written since the last one, because the reader of the log was too slow."
@@ -202,6 +207,10 @@
 inline constexpr metric_kind kCallerRefusals{ metric_type::kCounter,
                                               "briarwind_node_caller_refusals_total", "reason",
                                               "Calls refused, by reason." };
+inline constexpr metric_kind kHttpRefusals{
+  metric_type::kCounter, "briarwind_node_http_refusals_total", "reason",
+  "Connections and requests that a server of this host did not take, by reason."
+};
 inline constexpr metric_kind kCallerTime{ metric_type::kSummary, "briarwind_node_caller_seconds",
                                           "call", "Time to answer a caller, by kind of call." };
 inline constexpr metric_kind kPeerCalls{ metric_type::kCounter, "briarwind_node_peer_calls_total",
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -76,6 +76,9 @@
       return mAdapters.mAnswerCaller(mCallerService, aRequest);
     })
   {
+    CountRefusals(mCallers, "callers");
+    CountRefusals(mReadiness, "readiness");
+    CountRefusals(mPeers, "peers");
     mView.OnChange([this] {
       mDriver.SetSettings(mView.ForWork());
       NoteReadiness();
@@ -93,6 +96,16 @@
     mRuntime.Spawn([this] { FollowSettingsFile(); });
   }
 
+  void CountRefusals(http_server& aServer, std::string_view aName)
+  {
+    aServer.OnRefusal([this, aName](http_server_refusal aRefusal) {
+      mMetrics.Count(kHttpRefusals, ToString(aRefusal));
+      if (aRefusal == http_server_refusal::kHandlerFailed) {
+        LogEvent(kRequestFailed, { Field("server", aName) });
+      }
+    });
+  }
+
   void FollowSettingsFile()
   {
     while (true) {
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -38,8 +38,9 @@
 
 std::string_view ToString(http_server_refusal aRefusal)
 {
-  static constexpr std::array<std::string_view, 5> kNames{
+  static constexpr std::array<std::string_view, 6> kNames{
     "too-many-connections", "body-too-large", "header-too-large", "timeout", "malformed",
+    "handler-failed",
   };
   return kNames.at(static_cast<std::size_t>(aRefusal));
 }
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -2,6 +2,7 @@
 #include "briarwind/http_server.h"
 #include "briarwind/testing.h"
 
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,9 @@
   if (fault == "truncate") {
     response.mTruncateAt = 2;
   }
+  if (fault == "throw") {
+    throw std::length_error("a request that the handler did not expect");
+  }
   if (fault == "slow") {
     SleepFor(milliseconds(200));
   }
@@ -111,6 +115,17 @@
       BW_CHECK(exchange.mError.mKind == error_kind::kUnknownOutcome);
     }
   }
+  BW_SECTION("and a handler that throws ends its connection, not the server")
+  {
+    http_request request = Post("body");
+    request.mHeaders.Set("Fault", "throw");
+    const auto exchange = connection.Exchange(request, Soon(), kBodyLimit);
+    BW_CHECK(!exchange.mResponse.has_value());
+    BW_CHECK(exchange.mError.mKind == error_kind::kUnknownOutcome);
+    BW_CHECK(refusals.front() == http_server_refusal::kHandlerFailed);
+    auto fresh = http_connection::Connect(runtime, server.Listening(), Soon());
+    BW_CHECK(fresh.value()->Exchange(Post("body"), Soon(), kBodyLimit).mResponse.has_value());
+  }
   BW_SECTION("and a deadline that passes leaves the outcome unknown")
   {
     http_request request = Post("body");
--- a/src/libnet/http_session.cpp
+++ b/src/libnet/http_session.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -228,14 +229,26 @@
     request.mHeaders = FromBeast(message);
     request.mBody = std::move(message.body());
 
-    const http_response response = mShared.mHandler(request);
-    if (response.mDrop) {
+    const std::optional<http_response> response = Handle(request);
+    if (!response || response->mDrop) {
       return false;
     }
-    if (response.mStream) {
-      return WriteStream(response);
+    if (response->mStream) {
+      return WriteStream(*response);
+    }
+    return Write(*response, keepAlive && !mShared.mStopping);
+  }
+
+  // One request that the handler cannot cope with must not end all others. What it has done by then
+  // is not known, which a cut connection says and no status does.
+  std::optional<http_response> Handle(const http_request& aRequest)
+  {
+    try {
+      return mShared.mHandler(aRequest);
+    } catch (const std::exception&) {
+      mShared.Refuse(http_server_refusal::kHandlerFailed);
+      return std::nullopt;
     }
-    return Write(response, keepAlive && !mShared.mStopping);
   }
 
   bool Write(const http_response& aResponse, bool aKeepAlive)
--- a/src/libutil/json_fields.cpp
+++ b/src/libutil/json_fields.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <charconv>
+#include <utility>
 
 namespace briarwind {
 
@@ -36,6 +37,13 @@
   return std::move(read.as_object());
 }
 
+std::optional<std::int64_t> WholeNumber(const json::value& aValue)
+{
+  boost::system::error_code failed;
+  const auto number = aValue.to_number<std::int64_t>(failed);
+  return failed ? std::nullopt : std::optional(number);
+}
+
 std::int64_t NumberField(const json::object& aObject, std::string_view aName, std::int64_t aDefault)
 {
   const json::value* found = aObject.if_contains(aName);
@@ -45,9 +53,13 @@
   if (const json::string* text = found->if_string()) {
     return ParseDigits(*text, aDefault);
   }
-  boost::system::error_code failed;
-  const auto number = found->to_number<std::int64_t>(failed);
-  return failed ? aDefault : number;
+  return WholeNumber(*found).value_or(aDefault);
+}
+
+int CountField(const json::object& aObject, std::string_view aName, int aDefault)
+{
+  const std::int64_t number = NumberField(aObject, aName, aDefault);
+  return std::in_range<int>(number) ? static_cast<int>(number) : aDefault;
 }
 
 std::string TextField(const json::object& aObject, std::string_view aName)
--- a/src/libutil/json_fields_test.cpp
+++ b/src/libutil/json_fields_test.cpp
@@ -18,6 +18,21 @@
     BW_EQUAL(std::int64_t{ 5 }, NumberField(object, "d", 5));
     BW_EQUAL(std::int64_t{ 5 }, NumberField(object, "none", 5));
   }
+  BW_SECTION("are counts only within their range, and never throw")
+  {
+    const auto odd = Settle([] {
+      return ParseJsonObject(R"({"f":2.5,"e":1e300,"u":18446744073709551615,"w":4294967297,)"
+                             R"("h":3.0,"z":null,"l":[1]})");
+    });
+    for (const char* name : { "f", "e", "u", "z", "l" }) {
+      BW_CHECK(!WholeNumber(odd.value().at(name)));
+      BW_EQUAL(9, CountField(odd.value(), name, 9));
+    }
+    BW_EQUAL(9, CountField(odd.value(), "w", 9));
+    BW_EQUAL(9, CountField(odd.value(), "none", 9));
+    BW_EQUAL(7, CountField(object, "n"));
+    BW_CHECK(WholeNumber(odd.value().at("h")) == std::int64_t{ 3 });
+  }
   BW_SECTION("are texts, switches, objects and arrays, empty when absent")
   {
     BW_EQUAL(std::string("x"), TextField(object, "t"));
--- a/src/libwork/work_record.cpp
+++ b/src/libwork/work_record.cpp
@@ -203,7 +203,7 @@
   step.mEstimate = milliseconds(NumberField(aObject, "estimate_ms"));
   std::ranges::transform(
     ArrayField(aObject, "after"), std::back_inserter(step.mAfter),
-    [](const json::value& aValue) { return static_cast<int>(aValue.to_number<std::int64_t>()); });
+    [](const json::value& aValue) { return static_cast<int>(WholeNumber(aValue).value_or(-1)); });
   step.mGang = SwitchField(aObject, "gang");
   step.mRackLocal = SwitchField(aObject, "rack_local");
   step.mCheckpoints = SwitchField(aObject, "checkpoints");
