Router: an instance that was never tried gets one request

An instance without an answer counts as slow as the mean of the fleet, so beside one that answers faster than the mean it is never the cheaper of two while callers come one by one. Shown by the new story, which failed on the code as it was: the choice was the tried instance. Ruled out: counting it as half the mean (still loses to an instance at a third of it). Change: of two drawn, an untried instance with nothing in flight comes first; one attempt that ends, well or badly, makes it like the others. Across failure domains nothing changes.

--- a/src/include/briarwind/instance_choice.h
+++ b/src/include/briarwind/instance_choice.h
@@ -31,6 +31,8 @@
 
   const std::string& Name() const { return mName; }
   int InFlight() const { return mInFlight; }
+  /// No attempt has ended there, well or badly, since it was added or ejected.
+  bool IsUntried() const { return mLatency <= 0 && mAttempts <= 0; }
   /// Mean time of good answers; aFleet until there is one. Falls below aFleet while unused, so that
   /// an instance that has recovered is tried again.
   duration Latency(duration aFleet, instant aNow) const;
--- a/src/librouting/instance_choice.cpp
+++ b/src/librouting/instance_choice.cpp
@@ -30,6 +30,15 @@
   return latency * load * (1 + kFailurePenalty * failures / std::max(0.05, 1 - failures));
 }
 
+// An instance that was never tried gets one request, to show how fast it is: taken to be as slow as
+// the fleet it would lose to each instance that is faster than the mean, and a service whose
+// callers come one by one would never use it.
+double TrialCost(const instance_record& aInstance, const choice_context& aContext)
+{
+  const bool untried = aInstance.IsUntried() && aInstance.InFlight() == 0;
+  return untried ? 0 : Cost(aInstance, aContext);
+}
+
 std::size_t Draw(std::size_t aCount, choice_random& aRandom)
 {
   return std::uniform_int_distribution<std::size_t>(0, aCount - 1)(aRandom);
@@ -67,8 +76,8 @@
       return aSide[first];
     }
     const std::size_t second = (first + 1 + Draw(aSide.size() - 1, aRandom)) % aSide.size();
-    const double firstCost = Cost(*aCandidates[aSide[first]], aContext);
-    const double secondCost = Cost(*aCandidates[aSide[second]], aContext);
+    const double firstCost = TrialCost(*aCandidates[aSide[first]], aContext);
+    const double secondCost = TrialCost(*aCandidates[aSide[second]], aContext);
     return firstCost <= secondCost ? aSide[first] : aSide[second];
   }
 
--- a/src/librouting/instance_choice_test.cpp
+++ b/src/librouting/instance_choice_test.cpp
@@ -42,3 +42,30 @@
     BW_EQUAL(std::size_t{ 1 }, strategy->Choose(both, { later, kFleet, "" }, random));
   }
 }
+
+BW_STORY("an instance that was never tried, beside one that is faster than the mean of the fleet")
+{
+  const instant now{};
+  const instance_record fast = Sampled("fast", milliseconds(9), now);
+  instance_record fresh("fresh");
+  fresh.mSlots = 1;
+  const std::array<const instance_record*, 2> candidates{ &fast, &fresh };
+  const auto strategy = MakeTwoChoice();
+  choice_random random(1);
+  BW_SECTION("gets the next request of callers that come one by one")
+  {
+    BW_EQUAL(std::size_t{ 1 }, strategy->Choose(candidates, { now, kFleet, "" }, random));
+  }
+  BW_SECTION("gets no second one before the first is over")
+  {
+    fresh.OnStart();
+    BW_EQUAL(std::size_t{ 0 }, strategy->Choose(candidates, { now, kFleet, "" }, random));
+  }
+  BW_SECTION("gets no further ones when its first attempt failed")
+  {
+    fresh.OnStart();
+    fresh.OnRelease();
+    fresh.OnEnd(attempt_health::kBad, milliseconds(1), now);
+    BW_EQUAL(std::size_t{ 0 }, strategy->Choose(candidates, { now, kFleet, "" }, random));
+  }
+}
