A leader whose lease ended in an outage claims the lead again; leases are extended once more before it

The leader learns at 37.18 that its key is gone and steps down, another one leads at 37.51 and has read at 37.61, but knows only 345 of 540 workers: the entries of the others ended in the outage and are back up to 2 s later. Workers' leases last 6 s here, the leader may grant them until 32.3, so they end from 36.9 on: 258 runs lapsed, and their gangs went with them. Change: each claim also writes briarwind/hosts/term, without a lease. A leader whose key has ended claims it again if that key is as it wrote it, so nobody has led since and what it knows holds; its term goes on under the higher epoch. A write that meets the absent key is repeated, an order refused for its former epoch is not a reason to step down. In the last 450 ms in which an unconfirmed leader may order, leases older than 250 ms are extended beside the polls that wait.

--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -166,6 +166,8 @@
   void BeginTerm(std::int64_t aEpoch, instant aNow);
   /// Ends it: nothing is decided and no action comes out until the next one.
   void EndTerm();
+  /// The term goes on under a higher epoch; nobody else has led in between.
+  void RaiseEpoch(std::int64_t aEpoch);
   std::int64_t Epoch() const;
 
   void SetSettings(const work_settings& aSettings, instant aNow);
@@ -202,7 +204,10 @@
   /// Nothing when the worker needs no look at present.
   std::optional<poll_plan> PlanPoll(const std::string& aWorker, instant aNow);
   /// A second look beside one that is under way, when that one cannot tell what became of an order.
-  std::optional<poll_plan> PlanSecondPoll(const std::string& aWorker, instant aNow);
+  /// @param aEnding leases may not be extended for much longer: extends those that others would
+  ///        outlast
+  std::optional<poll_plan> PlanSecondPoll(const std::string& aWorker, instant aNow,
+                                          bool aEnding = false);
   std::vector<std::string> Workers() const;
   /// The end of a lease that starts now, on the worker's clock. To be asked right before the order
   /// leaves: the worker counts as holding such a lease from now on.
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -35,6 +35,11 @@
   6013, log_level::kWarning, "lead.unconfirmed",
   "The leader's lease could not be renewed; it orders nothing once the lease may have ended."
 };
+inline constexpr event_kind kLeadReclaimed{
+  6016, log_level::kInfo, "lead.reclaimed",
+  "The lease had ended and this host claimed the lead again before any other led; it goes on with "
+  "what it knows, under a higher epoch."
+};
 inline constexpr event_kind kLeadNotHandedOver{
   6014, log_level::kWarning, "lead.not-handed-over",
   "The lease could not be ended at a stop; the next leader waits until it has run out."
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -66,7 +66,8 @@
               aMetrics, aSettings.mWork)
     , mLead(aRuntime, mStore, aMetrics, aSettings.mName, ToString(aSettings.mPeers),
             aSettings.mProcessorShare,
-            { [this](std::int64_t /*aEpoch*/) { Gained(); }, [this] { mDriver.StepDown(); } })
+            { [this](std::int64_t /*aEpoch*/) { Gained(); }, [this] { mDriver.StepDown(); },
+              [this](std::int64_t aEpoch) { mDriver.GoOnUnder(aEpoch); } })
     , mPeerPool(aRuntime)
     , mPeers(aRuntime, aSettings.mPeers,
              [this](const http_request& aRequest) { return AnswerPeer(aRequest); })
--- a/src/libcontrol/leadership.cpp
+++ b/src/libcontrol/leadership.cpp
@@ -25,6 +25,8 @@
 constexpr double kClockDrift = 0.97;
 // Between the check and the moment an order is on its way.
 constexpr milliseconds kOrderMargin{ 50 };
+// One more look at each worker fits into this, on the weakest host that may lead.
+constexpr milliseconds kAboutToEnd{ 450 };
 // The weakest host waits this much longer than a whole core before it tries to lead.
 constexpr milliseconds kWeakestWait{ 160 };
 constexpr milliseconds kElectionPause{ 120 };
@@ -84,6 +86,11 @@
   return Leads() && BootNow() + kOrderMargin < mValidUntil;
 }
 
+bool leadership::IsAboutToEnd() const
+{
+  return MayOrder() && !mConfirmed && BootNow() + kOrderMargin + kAboutToEnd >= mValidUntil;
+}
+
 store_condition leadership::Condition() const
 {
   return { std::string(kLeaderKey), mEpoch };
@@ -93,8 +100,11 @@
 {
   if (Leads()) {
     LogEvent(kLeadLost, { Field("epoch", mEpoch) });
+    ++mLosses;
     mEpoch = 0;
     mLease = 0;
+    mLapsed = false;
+    mConfirmed = false;
     mValidUntil = {};
     mCallbacks.mLost();
   }
@@ -132,6 +142,8 @@
 void leadership::Listed(const store_listing& aListing)
 {
   mLeader.reset();
+  mTerm = 0;
+  mTermIsOurs = false;
   mPeers.clear();
   std::ranges::for_each(aListing.mValues, [this](const auto& aValue) { Apply(aValue, false); });
   mViewKnown = true;
@@ -145,12 +157,19 @@
       return;
     }
     mLeader = aDeleted ? std::nullopt : std::optional(aValue);
-    const bool another = mLeader && mLeader->mModified != mEpoch;
-    if (Leads() && aValue.mModified > mEpoch && (aDeleted || another)) {
+    // A key that has lapsed may be claimed again, as the next renewal finds out. Our own claim may
+    // be seen here before its answer.
+    const bool another = mLeader && mLeader->mModified > mEpoch && mLeader->mLease != mClaimLease;
+    if (Leads() && another) {
       LoseLead();
     }
     return;
   }
+  if (aValue.mKey == kTermKey && aValue.mModified >= mTerm) {
+    mTerm = aValue.mModified;
+    mTermIsOurs = !aDeleted && aValue.mValue == mIdentity;
+    return;
+  }
   if (aValue.mKey.starts_with(kPeerPrefix)) {
     const std::string name = aValue.mKey.substr(kPeerPrefix.size());
     if (aDeleted) {
@@ -174,75 +193,135 @@
     if (mResigned || mLeader) {
       continue;
     }
-    if (const auto epoch = TryToLead()) {
-      Begin(*epoch);
+    if (TryToLead(0) == claim_fate::kWon) {
+      Begin();
     }
   }
 }
 
-std::optional<std::int64_t> leadership::TryToLead()
+// @param aTerm revision that the term key must still have; 0: any
+leadership::claim_fate leadership::TryToLead(store_revision aTerm)
 {
   const boot_instant asked = BootNow();
   const auto lease = mStore.Grant(kLeaseTime, monotonic_clock::now() + kCallDeadline);
   if (!lease) {
-    return std::nullopt;
+    return claim_fate::kNotMade;
   }
+  // The view may show the claim before its answer is here.
+  mClaimLease = lease.value().mLease;
   store_transaction claim;
   claim.mConditions.push_back({ std::string(kLeaderKey), 0 });
+  if (aTerm != 0) {
+    claim.mConditions.push_back({ std::string(kTermKey), aTerm });
+  }
+  claim.mWrites.push_back({ std::string(kTermKey), mIdentity, 0 });
   claim.mWrites.push_back(
     { std::string(kLeaderKey),
       json::serialize(json::object{ { "address", mAddress }, { "identity", mIdentity } }),
-      lease.value().mLease });
+      mClaimLease });
   const auto done = mStore.Commit(claim, monotonic_clock::now() + kCallDeadline);
-  mLease = lease.value().mLease;
-  mValidUntil =
-    asked + std::chrono::duration_cast<milliseconds>(lease.value().mTimeToLive * kClockDrift);
+  std::int64_t epoch = 0;
   if (done) {
-    return done.value().mCommitted ? std::optional(done.value().mRevision) : std::nullopt;
-  }
-  if (done.error().mKind != error_kind::kUnknownOutcome) {
-    return std::nullopt;
+    if (!done.value().mCommitted) {
+      return claim_fate::kLost;
+    }
+    epoch = done.value().mRevision;
+  } else {
+    if (done.error().mKind != error_kind::kUnknownOutcome) {
+      return claim_fate::kNotMade;
+    }
+    // The claim may be there without an answer. If it only comes to be there later, the view shows
+    // it, nobody renews it, and it ends with its lease.
+    const auto read = mStore.Get(kLeaderKey, monotonic_clock::now() + kCallDeadline);
+    if (!read || !read.value() || read.value()->mLease != mClaimLease) {
+      return claim_fate::kUnclear;
+    }
+    epoch = read.value()->mModified;
   }
-  // The claim may be there without an answer. If it only comes to be there later, the view shows
-  // it, nobody renews it, and it ends with its lease.
-  const auto read = mStore.Get(kLeaderKey, monotonic_clock::now() + kCallDeadline);
-  const bool ours = read && read.value() && read.value()->mLease == mLease;
-  return ours ? std::optional(read.value()->mModified) : std::nullopt;
+  mLease = mClaimLease;
+  mEpoch = epoch;
+  mLapsed = false;
+  mConfirmed = true;
+  mValidUntil =
+    asked + std::chrono::duration_cast<milliseconds>(lease.value().mTimeToLive * kClockDrift);
+  return claim_fate::kWon;
 }
 
-void leadership::Begin(std::int64_t aEpoch)
+void leadership::Begin()
 {
-  mEpoch = aEpoch;
-  LogEvent(kLeadGained, { Field("epoch", aEpoch), Field("lease", mLease) });
-  mRuntime.Spawn([this, aEpoch] { RenewLoop(aEpoch); });
-  mCallbacks.mGained(aEpoch);
+  if (mResigned) {
+    Resign();
+    return;
+  }
+  ++mLeads;
+  LogEvent(kLeadGained, { Field("epoch", mEpoch), Field("lease", mLease) });
+  mRuntime.Spawn([this] { RenewLoop(); });
+  mCallbacks.mGained(mEpoch);
 }
 
-void leadership::RenewLoop(std::int64_t aEpoch)
+void leadership::RenewLoop()
 {
-  bool confirmed = true;
-  while (mEpoch == aEpoch) {
-    SleepFor(confirmed ? kRenewEvery : kRenewEvery / 5);
-    if (mEpoch != aEpoch) {
-      return;
-    }
-    const boot_instant asked = BootNow();
-    const auto renewed = mStore.Renew(mLease, monotonic_clock::now() + kRenewDeadline);
-    if (mEpoch != aEpoch) {
+  const int lead = mLeads;
+  const auto holds = [&] { return Leads() && mLeads == lead; };
+  while (holds()) {
+    SleepFor(mConfirmed ? kRenewEvery : kRenewEvery / 5);
+    if (!holds()) {
       return;
     }
-    if (renewed) {
-      mValidUntil =
-        std::max(mValidUntil,
-                 asked + std::chrono::duration_cast<milliseconds>(renewed.value() * kClockDrift));
-    } else if (renewed.error().mKind == error_kind::kNotFound) {
-      LoseLead();
-      return;
+    const bool confirmed = mLapsed ? Reclaim() : RenewOnce();
+    if (holds() && std::exchange(mConfirmed, confirmed) != confirmed) {
+      LogEvent(confirmed ? kLeadConfirmed : kLeadUnconfirmed, { Field("epoch", mEpoch) });
     }
-    if (std::exchange(confirmed, renewed.has_value()) != renewed.has_value()) {
-      LogEvent(renewed ? kLeadConfirmed : kLeadUnconfirmed, { Field("epoch", aEpoch) });
+  }
+}
+
+bool leadership::RenewOnce()
+{
+  const store_lease lease = mLease;
+  const boot_instant asked = BootNow();
+  const auto renewed = mStore.Renew(lease, monotonic_clock::now() + kRenewDeadline);
+  if (!Leads() || mLease != lease) {
+    return false;
+  }
+  if (renewed) {
+    mValidUntil = std::max(
+      mValidUntil, asked + std::chrono::duration_cast<milliseconds>(renewed.value() * kClockDrift));
+    return true;
+  }
+  if (renewed.error().mKind != error_kind::kNotFound) {
+    return false;
+  }
+  mLapsed = true;
+  mValidUntil = {};
+  return Reclaim();
+}
+
+// The store has ended the lease, as it does in some outages. While the term key is as this process
+// wrote it nobody has led since, so all that is known here still holds, and need not be read anew
+// while leases of workers run out.
+bool leadership::Reclaim()
+{
+  if (mResigned || !mTermIsOurs) {
+    LoseLead();
+    return false;
+  }
+  const std::int64_t before = mEpoch;
+  const int losses = mLosses;
+  const claim_fate fate = TryToLead(mTerm);
+  if (fate == claim_fate::kWon) {
+    if (mLosses != losses) {
+      Begin(); // a worker or the view had this host step down meanwhile: nothing known holds
+      return true;
     }
+    LogEvent(kLeadReclaimed,
+             { Field("epoch", mEpoch), Field("before", before), Field("lease", mLease) });
+    mCallbacks.mReclaimed(mEpoch);
+    return true;
+  }
+  if (fate != claim_fate::kNotMade) {
+    LoseLead();
   }
+  return false;
 }
 
 } // namespace briarwind
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -66,30 +66,30 @@
 
 void work_driver::RunTerm(const leadership& aLead, std::function<void()> aOnLeadLost)
 {
-  const std::int64_t epoch = aLead.Epoch();
+  const int term = ++mTerm;
   mLead = &aLead;
   mOnLeadLost = std::move(aOnLeadLost);
-  mCore.BeginTerm(epoch, monotonic_clock::now());
+  mCore.BeginTerm(aLead.Epoch(), monotonic_clock::now());
   store_revision listed = 0;
-  while (IsTerm(epoch) && !TakeOver(epoch, listed)) {
+  while (IsTerm(term) && !TakeOver(term, listed)) {
     SleepFor(kWriteRetry);
   }
-  if (!IsTerm(epoch)) {
+  if (!IsTerm(term)) {
     return;
   }
   mActing = true;
   const work_counts counts = mCore.Counts();
-  LogEvent(kTakenOver,
-           { Field("epoch", epoch), Field("jobs", counts.mJobs), Field("runs", counts.mLiveRuns),
-             Field("workers", counts.mWorkers), Field("revision", listed) });
-  mRuntime.Spawn([this, epoch] { PollWorkers(epoch); });
-  mRuntime.Spawn([this, epoch] { TickLoop(epoch); });
+  LogEvent(kTakenOver, { Field("epoch", mCore.Epoch()), Field("jobs", counts.mJobs),
+                         Field("runs", counts.mLiveRuns), Field("workers", counts.mWorkers),
+                         Field("revision", listed) });
+  mRuntime.Spawn([this, term] { PollWorkers(term); });
+  mRuntime.Spawn([this, term] { TickLoop(term); });
   Pump();
   store_follower follower(
     mStore, mMetrics, std::string(work_keys::kAccepted),
     { [this](const store_listing& aListing) { Accepted(aListing); },
       [this](const std::vector<store_change>& aChanges) { AcceptedChanged(aChanges); },
-      [this, epoch] { return IsTerm(epoch); } });
+      [this, term] { return IsTerm(term); } });
   follower.Run(listed);
 }
 
@@ -108,6 +108,22 @@
   }
 }
 
+// Orders of before the lead was claimed again are refused as well; only the present epoch tells.
+bool work_driver::FencedBy(std::int64_t aEpoch)
+{
+  if (aEpoch != mCore.Epoch()) {
+    return false;
+  }
+  LoseLead("a worker obeys a newer leader");
+  return true;
+}
+
+void work_driver::GoOnUnder(std::int64_t aEpoch)
+{
+  mCore.RaiseEpoch(aEpoch);
+  Pump();
+}
+
 void work_driver::SetSettings(const work_settings& aSettings)
 {
   mSettings = aSettings;
@@ -119,8 +135,9 @@
 
 // The epoch is in force already, so no record of an earlier leader can change any more. Progress is
 // read before the accepted jobs: a job that comes in between has none.
-bool work_driver::TakeOver(std::int64_t aEpoch, store_revision& aListed)
+bool work_driver::TakeOver(int aTerm, store_revision& aListed)
 {
+  const std::int64_t epoch = mCore.Epoch();
   const auto progress = mStore.List(work_keys::kProgress, monotonic_clock::now() + kStoreDeadline);
   const auto accepted =
     progress ? mStore.List(work_keys::kAccepted, monotonic_clock::now() + kStoreDeadline)
@@ -128,14 +145,15 @@
   const auto workers = mRegistry.Read(monotonic_clock::now() + kStoreDeadline);
   if (!accepted || !workers) {
     LogEvent(kTakeOverFailed,
-             { Field("epoch", aEpoch), Field("what", accepted ? "registry" : "records") });
+             { Field("epoch", epoch), Field("what", accepted ? "registry" : "records") });
     return false;
   }
-  if (!IsTerm(aEpoch)) {
+  // Claimed again meanwhile: what was read may be from before the new epoch.
+  if (!IsTerm(aTerm) || mCore.Epoch() != epoch) {
     return false;
   }
   const instant now = monotonic_clock::now();
-  mCore.BeginTerm(aEpoch, now);
+  mCore.BeginTerm(epoch, now);
   mCore.SetSettings(mSettings, now);
   std::map<std::string_view, const stored_value*> records;
   for (const stored_value& each : progress.value().mValues) {
@@ -208,25 +226,25 @@
   mCore.AddJob({ job.value(), false, {}, 0 }, now, WallNow());
 }
 
-void work_driver::PollWorkers(std::int64_t aEpoch)
+void work_driver::PollWorkers(int aTerm)
 {
-  while (IsTerm(aEpoch)) {
+  while (IsTerm(aTerm)) {
     SleepFor(mRegistryInterval);
     const auto workers = mRegistry.Read(monotonic_clock::now() + kStoreDeadline);
-    if (IsTerm(aEpoch) && workers) {
+    if (IsTerm(aTerm) && workers) {
       mCore.SetWorkers(workers.value(), monotonic_clock::now());
       Pump();
     }
   }
 }
 
-void work_driver::TickLoop(std::int64_t aEpoch)
+void work_driver::TickLoop(int aTerm)
 {
   instant forgetAt = monotonic_clock::now() + kForgetEvery;
-  while (IsTerm(aEpoch)) {
+  while (IsTerm(aTerm)) {
     SleepFor(kTick);
     PumpNow();
-    if (IsTerm(aEpoch) && monotonic_clock::now() >= forgetAt) {
+    if (IsTerm(aTerm) && monotonic_clock::now() >= forgetAt) {
       forgetAt = monotonic_clock::now() + kForgetEvery;
       ForgetOld();
     }
@@ -286,6 +304,7 @@
 
 void work_driver::PerformStart(const start_run& aOrder)
 {
+  const int term = mTerm;
   const std::int64_t epoch = mCore.Epoch();
   const instant sent = monotonic_clock::now();
   start_outcome outcome = start_outcome::kHeldBack;
@@ -296,12 +315,12 @@
       mGateway.Start(mCore.Address(aOrder.mWorker), aOrder, epoch, until, sent + kOrderDeadline);
   }
   mMetrics.Count(kWorkOrders, ToString(outcome));
-  if (!IsTerm(epoch)) {
+  if (!IsTerm(term)) {
     return;
   }
   mCore.OnStarted(aOrder, outcome, sent, monotonic_clock::now());
   if (outcome == start_outcome::kFenced) {
-    LoseLead("a worker obeys a newer leader");
+    FencedBy(epoch);
   }
 }
 
@@ -316,14 +335,14 @@
     while (!mQuestions.empty()) {
       const ask_advice question = std::move(mQuestions.front());
       mQuestions.pop_front();
-      const std::int64_t epoch = mCore.Epoch();
+      const int term = mTerm;
       std::optional<placement_advice> advice;
       if (mAdvisor != nullptr && mActing) {
         const auto answer = mAdvisor->Ask(question, monotonic_clock::now() + kAdviceDeadline);
         mMetrics.Count(kAdviceCalls, answer ? "answered" : ToString(answer.error().mKind));
         advice = answer ? std::optional(answer.value()) : std::nullopt;
       }
-      if (IsTerm(epoch)) {
+      if (IsTerm(term)) {
         mCore.OnAdvice(question, advice, monotonic_clock::now());
         Pump();
       }
@@ -334,17 +353,18 @@
 
 void work_driver::PerformStop(const stop_run& aOrder)
 {
+  const int term = mTerm;
   const std::int64_t epoch = mCore.Epoch();
   const instant sent = monotonic_clock::now();
   const stop_outcome outcome =
     mGateway.Stop(mCore.Address(aOrder.mWorker), aOrder, epoch, sent + kOrderDeadline);
   mMetrics.Count(kWorkStops, outcome == stop_outcome::kStopping ? "stopping" : "failed");
-  if (!IsTerm(epoch)) {
+  if (!IsTerm(term)) {
     return;
   }
   mCore.OnStopped(aOrder, outcome, sent, monotonic_clock::now());
   if (outcome == stop_outcome::kFenced) {
-    LoseLead("a worker obeys a newer leader");
+    FencedBy(epoch);
   }
 }
 
@@ -360,13 +380,14 @@
 void work_driver::StartPolls()
 {
   const instant now = monotonic_clock::now();
+  const bool ending = mLead->IsAboutToEnd();
   for (const std::string& worker : mCore.Workers()) {
     const bool second = mPolling.contains(worker);
     std::set<std::string>& underWay = second ? mSecondPolling : mPolling;
     if (underWay.contains(worker)) {
       continue;
     }
-    auto plan = second ? mCore.PlanSecondPoll(worker, now) : mCore.PlanPoll(worker, now);
+    auto plan = second ? mCore.PlanSecondPoll(worker, now, ending) : mCore.PlanPoll(worker, now);
     if (plan) {
       if (!mLead->MayOrder()) {
         plan->mLeaseUntil = milliseconds{ 0 };
@@ -380,18 +401,18 @@
 void work_driver::RunPoll(const std::string& aWorker, const poll_plan& aPlan,
                           std::set<std::string>& aUnderWay)
 {
+  const int term = mTerm;
   const std::int64_t epoch = mCore.Epoch();
   const instant sent = monotonic_clock::now();
   const auto report = mGateway.Poll(aWorker, aPlan, epoch, sent + aPlan.mWait + kPollSlack);
   aUnderWay.erase(aWorker);
   mMetrics.Count(kWorkPolls, report ? "answered" : ToString(report.error().mKind));
-  if (!IsTerm(epoch)) {
+  if (!IsTerm(term)) {
     return;
   }
   if (report) {
     mCore.OnReport(aWorker, report.value(), sent, monotonic_clock::now());
-  } else if (report.error().mKind == error_kind::kConflict) {
-    LoseLead("a worker obeys a newer leader");
+  } else if (report.error().mKind == error_kind::kConflict && FencedBy(epoch)) {
     return;
   } else {
     mCore.OnPollFailed(aWorker, monotonic_clock::now());
@@ -415,36 +436,36 @@
   }
 }
 
-// Repeated until its fate is known: the conditions let one attempt through at most.
+// Repeated until its fate is known: the conditions let one attempt through at most. The lead may be
+// claimed again meanwhile, and has another condition then.
 void work_driver::RunWrite(const std::vector<progress_write>& aWrites)
 {
-  const std::int64_t epoch = mCore.Epoch();
-  if (!IsTerm(epoch)) {
-    return;
-  }
-  store_transaction transaction;
-  transaction.mConditions.push_back(mLead->Condition());
-  for (const progress_write& each : aWrites) {
-    transaction.mConditions.push_back({ work_keys::Progress(each.mJob), each.mExpected });
-    transaction.mWrites.push_back({ work_keys::Progress(each.mJob), each.mValue, 0 });
-  }
-  while (IsTerm(epoch)) {
+  const int term = mTerm;
+  while (IsTerm(term)) {
+    store_transaction transaction;
+    transaction.mConditions.push_back(mLead->Condition());
+    for (const progress_write& each : aWrites) {
+      transaction.mConditions.push_back({ work_keys::Progress(each.mJob), each.mExpected });
+      transaction.mWrites.push_back({ work_keys::Progress(each.mJob), each.mValue, 0 });
+    }
     const instant sent = monotonic_clock::now();
     const auto done = mStore.Commit(transaction, sent + kStoreDeadline);
-    if (!IsTerm(epoch)) {
+    if (!IsTerm(term)) {
       return;
     }
     if (done) {
       mMetrics.Observe(kWorkWriteTime, monotonic_clock::now() - sent);
-      SettleWrite(aWrites, done.value());
-      return;
+      if (SettleWrite(aWrites, done.value())) {
+        return;
+      }
     }
-    mMetrics.Count(kWorkWriteRetries, ToString(done.error().mKind));
+    mMetrics.Count(kWorkWriteRetries, done ? "not leading" : ToString(done.error().mKind));
     SleepFor(kWriteRetry);
   }
 }
 
-void work_driver::SettleWrite(const std::vector<progress_write>& aWrites,
+// @return false when the leader's key has lapsed: whether it can be claimed again shows soon
+bool work_driver::SettleWrite(const std::vector<progress_write>& aWrites,
                               const transaction_result& aResult)
 {
   const instant now = monotonic_clock::now();
@@ -452,16 +473,22 @@
     for (const progress_write& each : aWrites) {
       mCore.OnWritten(each.mJob, aResult.mRevision, now);
     }
-    return;
+    return true;
   }
   const auto current = [&](const std::string& aKey) -> const stored_value* {
     const auto found = std::ranges::find(aResult.mCurrent, aKey, &stored_value::mKey);
     return found == aResult.mCurrent.end() ? nullptr : &*found;
   };
   const stored_value* leader = current(std::string(leadership::kLeaderKey));
-  if (leader == nullptr || leader->mModified != mCore.Epoch()) {
+  if (leader == nullptr) {
+    return false;
+  }
+  if (leader->mModified > mCore.Epoch()) {
     LoseLead("the store names another leader");
-    return;
+    return true;
+  }
+  if (leader->mModified < mCore.Epoch()) {
+    return false; // answered before the lead was claimed again
   }
   for (const progress_write& each : aWrites) {
     const stored_value* stored = current(work_keys::Progress(each.mJob));
@@ -471,10 +498,12 @@
       mCore.OnNotWritten(each.mJob, stored == nullptr ? 0 : stored->mModified);
     }
   }
+  return true;
 }
 
 void work_driver::ForgetOld()
 {
+  const int term = mTerm;
   for (const std::string& job : mCore.TakeForgotten(monotonic_clock::now())) {
     store_transaction removal;
     removal.mConditions.push_back(mLead->Condition());
@@ -482,7 +511,7 @@
                          work_keys::Progress(job) };
     const auto done = mStore.Commit(removal, monotonic_clock::now() + kStoreDeadline);
     LogEvent(kWorkForgotten, { Field("job", job), Field("removed", done.has_value()) });
-    if (!IsTerm(mCore.Epoch())) {
+    if (!IsTerm(term)) {
       return;
     }
   }
--- a/src/libcontrol/work_driver.h
+++ b/src/libcontrol/work_driver.h
@@ -42,6 +42,8 @@
   /// Runs in a fiber of its own until the term is over.
   void RunTerm(const leadership& aLead, std::function<void()> aOnLeadLost);
   void StepDown();
+  /// The lead was claimed again before anybody else led: the term goes on under a higher epoch.
+  void GoOnUnder(std::int64_t aEpoch);
   /// No new decision and no order that has not left yet; for the last moments of a term.
   void Pause() { mPaused = true; }
   void SetSettings(const work_settings& aSettings);
@@ -55,12 +57,12 @@
   int OrdersUnderWay() const { return mOrders; }
 
 private:
-  bool TakeOver(std::int64_t aEpoch, store_revision& aListed);
+  bool TakeOver(int aTerm, store_revision& aListed);
   void Accepted(const store_listing& aListing);
   void AcceptedChanged(const std::vector<store_change>& aChanges);
   void AddAccepted(const stored_value& aValue);
-  void PollWorkers(std::int64_t aEpoch);
-  void TickLoop(std::int64_t aEpoch);
+  void PollWorkers(int aTerm);
+  void TickLoop(int aTerm);
   void Pump();
   void PumpNow();
   void Perform(work_action aAction);
@@ -73,10 +75,11 @@
                std::set<std::string>& aUnderWay);
   void StartWrites();
   void RunWrite(const std::vector<progress_write>& aWrites);
-  void SettleWrite(const std::vector<progress_write>& aWrites, const transaction_result& aResult);
+  bool SettleWrite(const std::vector<progress_write>& aWrites, const transaction_result& aResult);
   void ForgetOld();
   void LoseLead(std::string_view aReason);
-  bool IsTerm(std::int64_t aEpoch) const { return mLead != nullptr && mCore.Epoch() == aEpoch; }
+  bool FencedBy(std::int64_t aEpoch);
+  bool IsTerm(int aTerm) const { return mLead != nullptr && mTerm == aTerm; }
 
   fiber_runtime& mRuntime;
   record_store& mStore;
@@ -88,6 +91,7 @@
   work_core mCore;
   work_settings mSettings;
   const leadership* mLead = nullptr;
+  int mTerm = 0; ///< counts terms of this process; a term may go on under a higher epoch
   std::function<void()> mOnLeadLost;
   bool mActing = false;
   bool mPaused = false;
--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -15,10 +15,19 @@
 constexpr milliseconds kPollWhilePending{ 300 };
 // A worker that did not answer is asked again after this.
 constexpr milliseconds kPollRetry{ 150 };
+// Leases that were granted longer ago than this are extended once more before that ends: a poll
+// waits this long, and few are granted with an order meanwhile.
+constexpr milliseconds kLastHoldEvery{ 250 };
 // Without a change everything is planned again after this, since waits for locality and quarantine
 // run out by time alone.
 constexpr milliseconds kReplanEvery{ 250 };
 
+bool HasOrdered(const worker_entry& aWorker)
+{
+  return std::ranges::any_of(
+    aWorker.mRuns, [](const auto& aRun) { return aRun.second.mPhase != run_phase::kRecording; });
+}
+
 } // namespace
 
 work_core::work_core(const work_options& aOptions)
@@ -42,6 +51,12 @@
   *mState = state(mState->mOptions);
 }
 
+void work_core::RaiseEpoch(std::int64_t aEpoch)
+{
+  mState->mEpoch = aEpoch;
+  mState->mReplan = true;
+}
+
 std::int64_t work_core::Epoch() const
 {
   return mState->mEpoch;
@@ -310,8 +325,7 @@
     return std::nullopt;
   }
   worker_entry& worker = found->second;
-  const bool ordered = std::ranges::any_of(
-    worker.mRuns, [](const auto& aRun) { return aRun.second.mPhase != run_phase::kRecording; });
+  const bool ordered = HasOrdered(worker);
   const bool contact = !worker.mInTouch && (worker.mListed || ordered);
   const bool wanted = contact || ordered || worker.mAckDue || !worker.mOrphans.empty();
   if (worker.mInfo.mAddress.empty() || !wanted) {
@@ -339,7 +353,8 @@
 
 // A look that waits for an end may have left before the order in question. Until the order's fate
 // is known its task cannot be started elsewhere, and a gang waits for it.
-std::optional<poll_plan> work_core::PlanSecondPoll(const std::string& aWorker, instant aNow)
+std::optional<poll_plan> work_core::PlanSecondPoll(const std::string& aWorker, instant aNow,
+                                                   bool aEnding)
 {
   const auto found = mState->mWorkers.find(aWorker);
   if (found == mState->mWorkers.end() || !mState->mInTerm || !found->second.mInTouch) {
@@ -353,7 +368,15 @@
                          run.mStopAnswered && run.mStopAnsweredAt > worker.mLastPoll;
     return unclear || stopped;
   });
-  return asks ? std::optional(mState->MakePlan(worker, aNow)) : std::nullopt;
+  const bool holds = aEnding && aNow - worker.mLastPoll > kLastHoldEvery && HasOrdered(worker);
+  if (!asks && !holds) {
+    return std::nullopt;
+  }
+  poll_plan plan = mState->MakePlan(worker, aNow);
+  if (holds) {
+    plan.mLeaseUntil = GrantLease(aWorker, aNow);
+  }
+  return plan;
 }
 
 poll_plan work_core::state::MakePlan(worker_entry& aWorker, instant aNow) const
--- a/src/libwork/work_poll_test.cpp
+++ b/src/libwork/work_poll_test.cpp
@@ -101,3 +101,63 @@
     }));
   }
 }
+
+BW_STORY("leases that may be extended for but a moment longer, as the store answers nobody")
+{
+  work_core core;
+  instant now = instant() + std::chrono::hours(1);
+  const wall_time wall{ std::chrono::hours(1) };
+  work_settings settings;
+  settings.mQueues["batch"] = { "pool", 1, 3, 3, milliseconds(1'000) };
+  core.BeginTerm(5, now);
+  core.SetSettings(settings, now);
+  std::vector<registered_worker> workers;
+  for (const char* name : { "busy", "idle" }) {
+    registered_worker info;
+    info.mId = name;
+    info.mService = "pool";
+    info.mAddress = "10.0.0.1:80";
+    info.mCapacity = { 8, 128'000, 262'144 };
+    info.mIncarnation = 1;
+    workers.push_back(info);
+  }
+  core.SetWorkers(workers, now);
+  worker_report idle;
+  idle.mIncarnation = 1;
+  core.OnReport("busy", idle, now, now);
+  core.AddJob({ Job("a", "batch", { Step(1, 1) }), false, {}, 0 }, now, wall);
+  core.Decide(now, wall);
+  for (const progress_write& each : core.TakeWrites(16)) {
+    core.OnWritten(each.mJob, each.mExpected + 1, now);
+  }
+  core.OnReport("idle", idle, now, now);
+  // One poll is under way: it waits for an end and holds the worker's lease from its start.
+  const auto waiting = core.PlanPoll("busy", now);
+  BW_CHECK(waiting && waiting->mLeaseUntil.count() > 0);
+
+  BW_SECTION("are extended at each worker with runs beside the poll that waits there")
+  {
+    now += milliseconds(400);
+    const auto last = core.PlanSecondPoll("busy", now, true);
+    BW_CHECK(last && last->mWait.count() == 0);
+    BW_EQUAL((waiting->mLeaseUntil + milliseconds(400)).count(), last->mLeaseUntil.count());
+
+    BW_SECTION("but once")
+    {
+      now += milliseconds(100);
+      BW_CHECK(!core.PlanSecondPoll("busy", now, true));
+    }
+  }
+  BW_SECTION("are left as they are where they were granted just now, or nothing runs")
+  {
+    now += milliseconds(100);
+    BW_CHECK(!core.PlanSecondPoll("busy", now, true));
+    now += milliseconds(400);
+    BW_CHECK(!core.PlanSecondPoll("idle", now, true));
+  }
+  BW_SECTION("are left to the next poll while the store answers")
+  {
+    now += milliseconds(400);
+    BW_CHECK(!core.PlanSecondPoll("busy", now));
+  }
+}
