--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -322,7 +322,9 @@
   }
   std::erase_if(mWorkers, [](const auto& aWorker) {
     const worker_entry& worker = aWorker.second;
-    return !worker.mListed && worker.mRuns.empty() && worker.mPendingEnds.empty() &&
+    // An end that is stored is acknowledged before its worker is forgotten, while that answers.
+    const bool owesAck = worker.mAckDue && worker.mInTouch;
+    return !worker.mListed && worker.mRuns.empty() && worker.mPendingEnds.empty() && !owesAck &&
            worker.mClaimed == task_demand{};
   });
 }
