A write that meets this host's own claim is repeated, not taken for another leader's

Cause (read, not seen in a run): between the moment in which the store carries out a claim again and the moment in which its answer is here, a progress write under the former epoch is refused and shows a higher revision of the leader's key. The host stepped down on it and read everything anew, which claiming again is there to avoid. Change: the key's lease tells whether the claim is our own; such a write is repeated under the new epoch.

--- a/src/libcontrol/leadership.cpp
+++ b/src/libcontrol/leadership.cpp
@@ -164,7 +164,7 @@
     mLeader = aDeleted ? std::nullopt : std::optional(aValue);
     // A key that has lapsed may be claimed again, as the next renewal finds out. Our own claim may
     // be seen here before its answer.
-    const bool another = mLeader && mLeader->mModified > mEpoch && mLeader->mLease != mClaimLease;
+    const bool another = mLeader && mLeader->mModified > mEpoch && !IsOwnClaim(*mLeader);
     if (Leads() && another) {
       LoseLead();
     }
--- a/src/libcontrol/leadership.h
+++ b/src/libcontrol/leadership.h
@@ -39,6 +39,8 @@
   bool MayOrder() const;
   /// The lease was not renewed of late and is about to end; MayOrder still holds.
   bool IsAboutToEnd() const;
+  /// Whether the leader's key, as the store has it, is from this process's last claim.
+  bool IsOwnClaim(const stored_value& aKey) const { return aKey.mLease == mClaimLease; }
   /// Since the store confirmed the lead last.
   milliseconds SinceConfirmed() const;
   /// For conditions of transactions: true only while the key is as this leader wrote it.
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -464,7 +464,7 @@
   }
 }
 
-// @return false when the leader's key has lapsed: whether it can be claimed again shows soon
+// @return false when the leader's key has lapsed or is being claimed again: the write is repeated
 bool work_driver::SettleWrite(const std::vector<progress_write>& aWrites,
                               const transaction_result& aResult)
 {
@@ -483,12 +483,14 @@
   if (leader == nullptr) {
     return false;
   }
-  if (leader->mModified > mCore.Epoch()) {
+  // The key may have been claimed again by this host, with the answer to either call on its way.
+  const bool another = leader->mModified > mCore.Epoch() && !mLead->IsOwnClaim(*leader);
+  if (another) {
     LoseLead("the store names another leader");
     return true;
   }
-  if (leader->mModified < mCore.Epoch()) {
-    return false; // answered before the lead was claimed again
+  if (leader->mModified != mCore.Epoch()) {
+    return false;
   }
   for (const progress_write& each : aWrites) {
     const stored_value* stored = current(work_keys::Progress(each.mJob));
