Stories of the step core share their worker and queue

Cause: duplicates names the beginnings of three stories in work_poll_test.cpp, two of them new. Change: Worker and BatchSettings stand in testing/sample_jobs.h.

--- a/src/libwork/testing/sample_jobs.h
+++ b/src/libwork/testing/sample_jobs.h
@@ -39,4 +39,24 @@
   return Job(aId, aQueue, { step });
 }
 
+/// A worker of eight accelerators in its first incarnation.
+inline registered_worker Worker(const std::string& aId)
+{
+  registered_worker info;
+  info.mId = aId;
+  info.mService = "pool";
+  info.mAddress = "10.0.0.1:80";
+  info.mCapacity = { 8, 128'000, 262'144 };
+  info.mIncarnation = 1;
+  return info;
+}
+
+/// One queue, `batch`, of priority 1 with three attempts.
+inline work_settings BatchSettings()
+{
+  work_settings settings;
+  settings.mQueues["batch"] = { "pool", 1, 3, 3, milliseconds(1'000) };
+  return settings;
+}
+
 } // namespace briarwind::testing
