--- a/spec/takeover.pml
+++ b/spec/takeover.pml
@@ -7,7 +7,7 @@
  *
  * Implemented by: src/libwork/work_runs.cpp (record before order, stop of an unanswered start, wait for
  * leases), work_reports.cpp (a worker's own list decides), work_core.cpp (acknowledged after stored),
- * src/libcontrol/leadership.cpp (epoch), work_driver.cpp (conditions of writes).
+ * src/libcontrol/leadership.cpp (epoch), work_driver_records.cpp (conditions of writes).
  *
  * FAULT_NO_FENCE: a worker obeys any leader. FAULT_ORDER_FIRST: the order leaves before its record.
  * FAULT_UNANSWERED_IS_FREE: an unanswered start is not stopped. FAULT_NO_LAPSE_WAIT: a worker out of reach
--- a/src/libcontrol/work_driver.h
+++ b/src/libcontrol/work_driver.h
@@ -61,6 +61,9 @@
   int OrdersUnderWay() const { return mOrders; }
 
 private:
+  static constexpr milliseconds kStoreDeadline{ 1'000 }; ///< of one call; a slow store takes 300 ms
+  static constexpr milliseconds kWriteRetry{ 60 };       ///< pause after a call that failed
+
   bool TakeOver(int aTerm, store_revision& aListed);
   void Accepted(const store_listing& aListing);
   void AcceptedChanged(const std::vector<store_change>& aChanges);
