--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: help setup build test run bench capacity catalogue model lint format clean
+.PHONY: help setup build test run bench capacity catalogue model regress lint format clean
 
 help: ## lists the targets
 	@grep -hE '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -34,6 +34,9 @@
 model: setup ## checks the models and that each seeded fault is found
 	bash spec/check.sh
 
+regress: ## hunts the regression sites: make regress FLEETBENCH=program SITES=folder
+	python3 scripts/regress.py --bench $(FLEETBENCH) --sites $(SITES)
+
 lint: $(BUILD)/build.ninja ## formatter and linter, no finding allowed
 	bash scripts/lint.sh $(BUILD)
 
