--- a/review/3/case.py
+++ b/review/3/case.py
@@ -37,7 +37,7 @@
         if len(members) == MEMBERS:
             # The gang works from the moment when all are present, and all end at the same point.
             for each, member in members:
-                each.runs[(member, attempt)][0] = each.clock() + int(RUN_SECONDS * 1000)
+                each.runs[(member, attempt)].begin(each.clock(), int(RUN_SECONDS * 1000))
 
     def on_end(minion, task, attempt, how):
         if how == "failed":
