--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -14,6 +14,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import tomllib
 import urllib.parse
@@ -350,51 +351,6 @@
         return 200, self._lists()
 
 
-class SilencingProxy:
-    """A TCP proxy whose open connections can go silent for good, while new ones work."""
-
-    def __init__(self, target, record, name):
-        self.target = target
-        self.record = record
-        self.name = name
-        self.open = []  # one dictionary for each connection
-
-    async def start(self):
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return web.port_of(server)
-
-    def silence(self):
-        silenced = [each for each in self.open if not each["silent"]]
-        for each in silenced:
-            each["silent"] = True
-        self.record(f"{self.name}: {len(silenced)} open connections go silent")
-
-    async def _serve(self, reader, writer):
-        connection = {"silent": False}
-        self.open.append(connection)
-        target_writer = None
-        try:
-            target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.target)
-            await asyncio.gather(self._pump(reader, target_writer, connection),
-                                 self._pump(target_reader, writer, connection))
-        except OSError:
-            pass
-        finally:
-            self.open.remove(connection)
-            for each in (writer, target_writer):
-                if each is not None:
-                    each.close()
-
-    @staticmethod
-    async def _pump(reader, writer, connection):
-        while data := await reader.read(65536):
-            if not connection["silent"]:
-                writer.write(data)
-                await writer.drain()
-        if not connection["silent"]:
-            writer.close()
-
-
 def deployed_command():
     """The command of the deploy file's role."""
     with open(REPOSITORY / "deploy" / "system.toml", "rb") as file:
@@ -403,12 +359,17 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Ports below the range from which outgoing connections get theirs."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -578,14 +539,20 @@
 
 
 def run_case(folder, case):
-    """Runs case(folder for files, record, trouble) and exits with its verdict: True is broken."""
-    import tempfile
+    """Runs case(deployment, record, trouble) and exits with its verdict: True is broken."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(folder) / "record.txt")
     record(f"{'with' if trouble else 'without'} the disruption")
 
     async def run(scratch):
         deployment = Deployment(pathlib.Path(scratch), record)
+
+        def give_up(*_):
+            deployment.stop()
+            os._exit(2)
+
+        signal.signal(signal.SIGTERM, give_up)
+        signal.signal(signal.SIGINT, give_up)
         try:
             async with asyncio.timeout(115):
                 return await case(deployment, record, trouble)
