--- a/review/1/case.py
+++ b/review/1/case.py
@@ -67,9 +67,10 @@
         deployment.store.set_busy(False)
     else:
         await asyncio.sleep(OUTAGE_SECONDS)
-    await asyncio.sleep(8)
-    for job in jobs:
-        await client.state(job)
+    for _ in range(24):
+        for job in jobs:
+            await client.state(job)
+        await asyncio.sleep(0.25)
     return bool(violations)
 
 
