A finished job is forgotten only once the store has confirmed its deletion

Cause: the leader removed a finished job from memory before it deleted the job's records, and ignored a deletion that failed. The outage also broke the watch of accepted jobs, and the listing after it contained the job, which the leader then took for a new one without progress.

Evidence: logs of a run on the former code: 8 times work.forgotten removed=false in the outage, and in the same millisecond as store.view-regained work.job-known for just these 8, age_ms 53,667 to 57,938. Ruled out: a change of the leader (one epoch), lapsed leases (ends acknowledged 40 s before).

Change: ExpiredJobs and ForgetJob replace TakeExpiredJobs; the deletion is conditional on the final progress record and runs beside the rounds; a failure is work.not-removed (BW6114), counted in briarwind_node_removal_retries_total, and retried. spec/retention.pml found four more paths to the same fault, closed here too: a listing read before a deletion and applied after it, a late notification, a deletion carried out late, an id that is used again before the deletion is confirmed. A job is therefore its id and the revision of its accepted record. Notifications between hosts carry that revision; one without it, of the former build, adds no job, the watch does.

The outage story of work_driver_test uses the shared fixture now; its checks are the same.

--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -54,6 +54,8 @@
   milliseconds mRegistryInterval{ 700 };
   /// How long the end of a finished job is retained; set by the deployment, with a margin.
   milliseconds mFinishedRetention{ 150'000 };
+  /// Interval at which the records of expired jobs are deleted, and failed deletions are retried.
+  milliseconds mRemovalInterval{ 5'000 };
 };
 
 /// Order to start one run.
@@ -141,13 +143,23 @@
   std::string mValue;
 };
 
-/// A job as read from the store when a leader takes over.
+/// A job as read from the store.
 struct stored_job
 {
   work_job mJob;
   bool mCancelled = false;
   std::string mProgress; ///< empty: no progress record was written
   store_revision mProgressRevision = 0;
+  /// Revision of the accepted record. It identifies the job, because an id may be used again once
+  /// the records of the job that had it are deleted.
+  store_revision mAcceptedRevision = 0;
+};
+
+/// A finished job whose records may be deleted if its progress record still has this revision.
+struct expired_job
+{
+  std::string mId;
+  store_revision mProgressRevision = 0;
 };
 
 struct work_counts
@@ -183,8 +195,14 @@
   /// Replaces the list of registered workers. Workers that are missing from it keep their runs
   /// until the leases of these runs have certainly expired.
   void SetWorkers(const std::vector<registered_worker>& aWorkers, instant aNow);
+  /// Whether an accepted record with this id and revision is of a job that AddJob has to add. It is
+  /// not if the job is known, or if the record was read before its deletion and arrives late.
+  bool IsNewJob(const std::string& aJob, store_revision aAccepted) const;
+  /// A finished job with the same id and an earlier revision is replaced.
   /// @param aWallNow decides which occurrences of timed jobs are due
   void AddJob(const stored_job& aJob, instant aNow, wall_time aWallNow);
+  /// Called when all records that were accepted up to this revision have been passed to AddJob.
+  void SetFollowedRevision(store_revision aRevision);
   void CancelJob(const std::string& aJob, instant aNow);
 
   void OnStarted(const start_run& aOrder, start_outcome aOutcome, instant aSent, instant aNow);
@@ -209,9 +227,12 @@
   void OnWritten(const std::string& aJob, store_revision aRevision, instant aNow);
   /// Called when a record was not written. The core returns it again, to replace revision aCurrent.
   void OnNotWritten(const std::string& aJob, store_revision aCurrent);
-  /// Removes and returns the finished jobs whose retention time has passed and whose final state is
-  /// stored.
-  std::vector<std::string> TakeExpiredJobs(instant aNow);
+  /// Finished jobs whose retention time has passed and whose final state is stored. They stay known
+  /// until ForgetJob is called for them.
+  std::vector<expired_job> ExpiredJobs(instant aNow) const;
+  /// Removes the job; called once the store has confirmed that its records are deleted. Has no
+  /// effect when another job has the id by now.
+  void ForgetJob(const expired_job& aJob);
 
   /// Returns nullopt when the worker needs no poll at present.
   std::optional<poll_plan> PlanPoll(const std::string& aWorker, instant aNow);
@@ -231,6 +252,8 @@
   /// Number of accepted jobs of a queue that are still queued, timed jobs excluded.
   int CountWaiting(const std::string& aQueue) const;
   std::optional<work_state> State(const std::string& aJob) const;
+  /// Revision of the job's accepted record; nullopt when the job is unknown.
+  std::optional<store_revision> AcceptedRevision(const std::string& aJob) const;
   /// The state as far as it is stored: a final state that is not stored yet is reported as running,
   /// except for cancellation.
   std::optional<work_state> StoredState(const std::string& aJob) const;
--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -36,6 +36,7 @@
   kWorkWorkerQuarantined,
   kWorkRecordUnreadable,
   kWorkForgotten,
+  kWorkNotRemoved,
   kJobAccepted,
   kJobRefused,
   kJobOutcomeUnclear,
@@ -55,24 +56,11 @@
 };
 
 constexpr std::array kMetrics{
-  kStoreCalls,
-  kStoreFailures,
-  kStoreRelists,
-  kStoreRelays,
-  kWorkDecisionTime,
-  kWorkWriteTime,
-  kWorkWriteRetries,
-  kStartOrders,
-  kStopOrders,
-  kWorkPolls,
-  kRegistryUnreadableEntries,
-  kAdviceCalls,
-  kCoreDecisions,
-  kCallerCalls,
-  kCallerRefusals,
-  kHttpRefusals,
-  kCallerTime,
-  kPeerCalls,
+  kStoreCalls,       kStoreFailures, kStoreRelists,     kStoreRelays,
+  kWorkDecisionTime, kWorkWriteTime, kWorkWriteRetries, kWorkRemovalRetries,
+  kStartOrders,      kStopOrders,    kWorkPolls,        kRegistryUnreadableEntries,
+  kAdviceCalls,      kCoreDecisions, kCallerCalls,      kCallerRefusals,
+  kHttpRefusals,     kCallerTime,    kPeerCalls,
 };
 
 } // namespace
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -115,8 +115,12 @@
 };
 inline constexpr event_kind kWorkForgotten{
   6113, log_level::kInfo, "work.forgotten",
-  "A job that ended long ago is dropped, with its records in the store; `removed` is false if the "
-  "store did not answer."
+  "A job that ended long ago is dropped, after its records in the store were deleted."
+};
+inline constexpr event_kind kWorkNotRemoved{
+  6114, log_level::kWarning, "work.not-removed",
+  "The records of a job that ended long ago could not be deleted, as `reason` says; the job stays "
+  "known and the deletion is retried, also that of the jobs after it."
 };
 inline constexpr event_kind kJobAccepted{
   6201, log_level::kInfo, "caller.accepted",
@@ -208,6 +212,10 @@
   metric_type::kCounter, "briarwind_node_write_retries_total", "reason",
   "Writes of progress records that had to be repeated, by reason."
 };
+inline constexpr metric_kind kWorkRemovalRetries{
+  metric_type::kCounter, "briarwind_node_removal_retries_total", "reason",
+  "Deletions of the records of ended jobs that had to be repeated, by reason."
+};
 inline constexpr metric_kind kStartOrders{ metric_type::kCounter, "briarwind_node_starts_total",
                                            "outcome", "Orders to start a run, by outcome." };
 inline constexpr metric_kind kStopOrders{ metric_type::kCounter, "briarwind_node_stops_total",
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -222,8 +222,8 @@
       http_request request;
       request.mMethod = "POST";
       request.mTarget = std::string(kStoredPath);
-      request.mBody =
-        json::serialize(json::object{ { "key", aValue.mKey }, { "value", aValue.mValue } });
+      request.mBody = json::serialize(json::object{
+        { "key", aValue.mKey }, { "value", aValue.mValue }, { "revision", aValue.mModified } });
       const auto answer = mPeerPool.Call(peer, request, monotonic_clock::now() + kNotifyTimeout);
       mMetrics.Count(kPeerCalls, answer ? "notified" : ToString(answer.error().mKind));
     });
@@ -238,6 +238,7 @@
     stored_value notified;
     notified.mKey = TextField(body.value(), "key");
     notified.mValue = TextField(body.value(), "value");
+    notified.mModified = NumberField(body.value(), "revision");
     mDriver.NotifyStored(notified);
     return PlainResponse(200, {});
   }
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -17,7 +17,6 @@
 constexpr milliseconds kPollMargin{ 600 };
 // The advisor takes time for each worker in the request and handles calls one after another.
 constexpr milliseconds kAdviceTimeout{ 2'000 };
-constexpr milliseconds kRemovalInterval{ 5'000 };
 
 wall_time WallNow()
 {
@@ -55,6 +54,7 @@
   , mAdvisor(aDependencies.mAdvisor)
   , mMetrics(aMetrics)
   , mRegistryInterval(aOptions.mRegistryInterval)
+  , mRemovalInterval(aOptions.mRemovalInterval)
   , mCore(aOptions)
 {
 }
@@ -166,7 +166,7 @@
                { Field("key", each.mKey), Field("revision", each.mModified) });
       continue;
     }
-    stored_job stored{ job.value(), false, {}, 0 };
+    stored_job stored{ job.value(), false, {}, 0, each.mModified };
     if (const auto record = records.find(job.value().mId); record != records.end()) {
       stored.mProgress = record->second->mValue;
       stored.mProgressRevision = record->second->mModified;
@@ -183,19 +183,25 @@
 {
   std::ranges::for_each(aListing.mValues,
                         [this](const stored_value& aValue) { AddAccepted(aValue); });
+  mCore.SetFollowedRevision(aListing.mRevision);
   ScheduleRound();
 }
 
 void work_driver::OnAcceptedChanged(const std::vector<store_change>& aChanges)
 {
+  store_revision followed = 0;
   for (const store_change& each : aChanges) {
     if (!each.mDeleted) {
       AddAccepted(each.mValue);
     }
+    followed = std::max(followed, each.mValue.mModified);
   }
+  mCore.SetFollowedRevision(followed);
   ScheduleRound();
 }
 
+// A job without a revision, as the former version of the program sends it, might have been removed
+// since; the watch reports it again if it has not.
 void work_driver::NotifyStored(const stored_value& aValue)
 {
   if (mHasTakenOver && aValue.mKey.starts_with(work_keys::kAccepted)) {
@@ -206,14 +212,13 @@
 
 void work_driver::AddAccepted(const stored_value& aValue)
 {
-  const instant now = monotonic_clock::now();
   std::string_view name = std::string_view(aValue.mKey).substr(work_keys::kAccepted.size());
   if (name.ends_with(work_keys::kCancelSuffix)) {
     name.remove_suffix(work_keys::kCancelSuffix.size());
-    mCore.CancelJob(std::string(name), now);
+    CancelAccepted(std::string(name), aValue.mModified);
     return;
   }
-  if (mCore.State(std::string(name))) {
+  if (!mCore.IsNewJob(std::string(name), aValue.mModified)) {
     return;
   }
   const auto job = ToIoResult([&] { return ParseWorkJob(aValue.mValue); });
@@ -222,7 +227,16 @@
              { Field("key", aValue.mKey), Field("revision", aValue.mModified) });
     return;
   }
-  mCore.AddJob({ job.value(), false, {}, 0 }, now, WallNow());
+  mCore.AddJob({ job.value(), false, {}, 0, aValue.mModified }, monotonic_clock::now(), WallNow());
+}
+
+// A cancellation older than the job is of an earlier job with the same id.
+void work_driver::CancelAccepted(const std::string& aJob, store_revision aCancelled)
+{
+  const auto accepted = mCore.AcceptedRevision(aJob);
+  if (accepted && (aCancelled == 0 || aCancelled > *accepted)) {
+    mCore.CancelJob(aJob, monotonic_clock::now());
+  }
 }
 
 void work_driver::RefreshWorkers(int aTerm)
@@ -239,13 +253,13 @@
 
 void work_driver::RoundLoop(int aTerm)
 {
-  instant nextRemoval = monotonic_clock::now() + kRemovalInterval;
+  instant nextRemoval = monotonic_clock::now() + mRemovalInterval;
   while (IsCurrentTerm(aTerm)) {
     SleepFor(kRoundInterval);
     RunRound();
     if (IsCurrentTerm(aTerm) && monotonic_clock::now() >= nextRemoval) {
-      nextRemoval = monotonic_clock::now() + kRemovalInterval;
-      RemoveExpiredJobs();
+      nextRemoval = monotonic_clock::now() + mRemovalInterval;
+      StartRemoval();
     }
   }
 }
--- a/src/libcontrol/work_driver.h
+++ b/src/libcontrol/work_driver.h
@@ -74,6 +74,7 @@
   void OnAcceptedListed(const store_listing& aListing);
   void OnAcceptedChanged(const std::vector<store_change>& aChanges);
   void AddAccepted(const stored_value& aValue);
+  void CancelAccepted(const std::string& aJob, store_revision aCancelled);
   void RefreshWorkers(int aTerm);
   void RoundLoop(int aTerm);
   void ScheduleRound();
@@ -90,7 +91,18 @@
   void RunWrite(const std::vector<progress_write>& aWrites);
   bool ApplyWriteResult(const std::vector<progress_write>& aWrites,
                         const transaction_result& aResult);
-  void RemoveExpiredJobs();
+  /// Whether the leader key, as a rejected transaction has found it, is still this leader's. Steps
+  /// down if another host has claimed it.
+  enum class leader_key : std::uint8_t
+  {
+    kOwn,
+    kAbsent, ///< expired, or being claimed again by this host
+    kAnother,
+  };
+  leader_key CheckLeaderKey(const transaction_result& aResult);
+  void StartRemoval();
+  void RemoveExpiredJobs(int aTerm);
+  bool RemoveRecords(const expired_job& aJob, int aTerm);
   void ReportSuperseded(std::string_view aReason);
   bool HandleFenced(std::int64_t aEpoch);
   bool IsCurrentTerm(int aTerm) const { return mLeadership != nullptr && mTerm == aTerm; }
@@ -102,6 +114,7 @@
   placement_advisor* mAdvisor;
   metrics& mMetrics;
   milliseconds mRegistryInterval;
+  milliseconds mRemovalInterval;
   work_core mCore;
   work_settings mSettings;
   const leadership* mLeadership = nullptr;
@@ -116,6 +129,7 @@
   bool mAdviceCallRunning = false;
   int mOrdersInFlight = 0;
   int mWritesInFlight = 0;
+  bool mRemovalRunning = false;
 };
 
 } // namespace briarwind
--- a/src/libcontrol/work_driver_records.cpp
+++ b/src/libcontrol/work_driver_records.cpp
@@ -15,6 +15,12 @@
 constexpr std::size_t kRecordsPerWrite = (record_store::kMaxTransactionEntries - 1) / 2;
 constexpr int kMaxConcurrentWrites = 4;
 
+const stored_value* FindCurrent(const transaction_result& aResult, std::string_view aKey)
+{
+  const auto found = std::ranges::find(aResult.mCurrent, aKey, &stored_value::mKey);
+  return found == aResult.mCurrent.end() ? nullptr : &*found;
+}
+
 } // namespace
 
 void work_driver::StartWrites()
@@ -74,25 +80,16 @@
     }
     return true;
   }
-  const auto current = [&](const std::string& aKey) -> const stored_value* {
-    const auto found = std::ranges::find(aResult.mCurrent, aKey, &stored_value::mKey);
-    return found == aResult.mCurrent.end() ? nullptr : &*found;
-  };
-  const stored_value* leader = current(std::string(leadership::kLeaderKey));
-  if (leader == nullptr) {
-    return false;
-  }
-  // This host may have claimed the key again, with the answer to that claim still on its way.
-  const bool another = leader->mModified > mCore.Epoch() && !mLeadership->IsOwnClaim(*leader);
-  if (another) {
-    ReportSuperseded("the leader key in the store belongs to another host");
-    return true;
-  }
-  if (leader->mModified != mCore.Epoch()) {
-    return false;
+  switch (CheckLeaderKey(aResult)) {
+    case leader_key::kOwn:
+      break;
+    case leader_key::kAbsent:
+      return false;
+    case leader_key::kAnother:
+      return true;
   }
   for (const progress_write& each : aWrites) {
-    const stored_value* stored = current(work_keys::Progress(each.mJob));
+    const stored_value* stored = FindCurrent(aResult, work_keys::Progress(each.mJob));
     if (stored != nullptr && stored->mValue == each.mValue) {
       mCore.OnWritten(each.mJob, stored->mModified, now);
     } else {
@@ -102,20 +99,80 @@
   return true;
 }
 
-void work_driver::RemoveExpiredJobs()
+work_driver::leader_key work_driver::CheckLeaderKey(const transaction_result& aResult)
 {
-  const int term = mTerm;
-  for (const std::string& job : mCore.TakeExpiredJobs(monotonic_clock::now())) {
-    store_transaction removal;
-    removal.mConditions.push_back(mLeadership->Condition());
-    removal.mDeletes = { work_keys::Accepted(job), work_keys::Cancel(job),
-                         work_keys::Progress(job) };
-    const auto done = mStore.Commit(removal, monotonic_clock::now() + kStoreDeadline);
-    LogEvent(kWorkForgotten, { Field("job", job), Field("removed", done.has_value()) });
-    if (!IsCurrentTerm(term)) {
+  const stored_value* leader = FindCurrent(aResult, leadership::kLeaderKey);
+  if (leader == nullptr) {
+    return leader_key::kAbsent;
+  }
+  // This host may have claimed the key again, with the answer to that claim still on its way.
+  if (leader->mModified > mCore.Epoch() && !mLeadership->IsOwnClaim(*leader)) {
+    ReportSuperseded("the leader key in the store belongs to another host");
+    return leader_key::kAnother;
+  }
+  return leader->mModified == mCore.Epoch() ? leader_key::kOwn : leader_key::kAbsent;
+}
+
+// Runs beside the rounds, which must not wait for a store that does not answer.
+void work_driver::StartRemoval()
+{
+  if (std::exchange(mRemovalRunning, true)) {
+    return;
+  }
+  mRuntime.Spawn([this, term = mTerm] {
+    RemoveExpiredJobs(term);
+    mRemovalRunning = false;
+  });
+}
+
+// After a failure the remaining jobs are left to the next removal: further calls would fail too.
+void work_driver::RemoveExpiredJobs(int aTerm)
+{
+  for (const expired_job& job : mCore.ExpiredJobs(monotonic_clock::now())) {
+    if (!IsCurrentTerm(aTerm) || !RemoveRecords(job, aTerm)) {
       return;
     }
   }
 }
 
+// The job is forgotten only when the store has confirmed that its records are gone. Otherwise the
+// next listing of accepted jobs would contain a job that this leader does not know, and the job
+// would run again from the beginning.
+//
+// @return false when that is not confirmed; the job stays known and its removal is retried
+bool work_driver::RemoveRecords(const expired_job& aJob, int aTerm)
+{
+  store_transaction removal;
+  removal.mConditions = { mLeadership->Condition(),
+                          { work_keys::Progress(aJob.mId), aJob.mProgressRevision } };
+  removal.mDeletes = { work_keys::Accepted(aJob.mId), work_keys::Cancel(aJob.mId),
+                       work_keys::Progress(aJob.mId) };
+  const auto done = mStore.Commit(removal, monotonic_clock::now() + kStoreDeadline);
+  if (!IsCurrentTerm(aTerm)) {
+    return false;
+  }
+  const auto retryLater = [&](std::string_view aReason) {
+    mMetrics.Count(kWorkRemovalRetries, aReason);
+    LogEvent(kWorkNotRemoved, { Field("job", aJob.mId), Field("reason", aReason) });
+    return false;
+  };
+  if (!done) {
+    return retryLater(ToString(done.error().mKind));
+  }
+  if (!done.value().mCommitted) {
+    if (CheckLeaderKey(done.value()) != leader_key::kOwn) {
+      return retryLater("not leading");
+    }
+    // An absent record means that an earlier deletion without an answer took effect.
+    const stored_value* stored = FindCurrent(done.value(), work_keys::Progress(aJob.mId));
+    if (stored != nullptr) {
+      mCore.OnNotWritten(aJob.mId, stored->mModified);
+      return retryLater("record changed");
+    }
+  }
+  mCore.ForgetJob(aJob);
+  LogEvent(kWorkForgotten, { Field("job", aJob.mId) });
+  return true;
+}
+
 } // namespace briarwind
--- a/src/libcontrol/work_driver_test.cpp
+++ b/src/libcontrol/work_driver_test.cpp
@@ -10,6 +10,13 @@
 
 namespace {
 
+// One runtime for all stories: fibers of a story keep running after it has ended.
+fiber_runtime& Runtime()
+{
+  static auto& runtime = *new fiber_runtime;
+  return runtime;
+}
+
 // A worker and the registry that lists it. It rejects starts and polls with an epoch lower than the
 // highest seen.
 struct fake_worker
@@ -106,34 +113,164 @@
   return value;
 }
 
+// A leader with one worker and a store. Never deleted: its fibers keep running after the story.
+struct test_leader
+{
+  explicit test_leader(const work_options& aOptions = {})
+    : mDriver(mRuntime, mStore, { &mWorker, nullptr, &mWorker }, mCounters, aOptions)
+    , mLeadership(mRuntime, mStore, mCounters, "n", "n:1", 1.0,
+                  { [this](std::int64_t) {
+                     mRuntime.Spawn([this] {
+                       mDriver.RunTerm(mLeadership, [this] { mLeadership.StepDown(); });
+                     });
+                   },
+                    [this] {
+                      ++mLosses;
+                      mDriver.LeaveTerm();
+                    },
+                    [this](std::int64_t aEpoch) { mDriver.ContinueTerm(aEpoch); } })
+  {
+  }
+
+  void Accept(const std::string& aJob)
+  {
+    const stored_value record = MakeAcceptedJob(aJob);
+    mStore.Put(record.mKey, record.mValue);
+  }
+  bool HasRecords(const std::string& aJob) const
+  {
+    return mStore.Find(work_keys::Accepted(aJob)) != nullptr ||
+           mStore.Find(work_keys::Progress(aJob)) != nullptr;
+  }
+  // Waits until the job has a run, ends it, and waits until the end is acknowledged.
+  bool RunOnce(const std::string& aJob)
+  {
+    const auto starts = mWorker.mStarts.size();
+    Accept(aJob);
+    if (!WaitFor([&] { return mWorker.mStarts.size() > starts; })) {
+      return false;
+    }
+    mWorker.End(mWorker.mStarts.back().first);
+    return WaitFor([&] { return mWorker.mEnds.empty(); });
+  }
+
+  fiber_runtime& mRuntime = Runtime();
+  metrics mCounters;
+  fake_record_store mStore;
+  fake_worker mWorker;
+  int mLosses = 0;
+  work_driver mDriver;
+  leadership mLeadership;
+};
+
+constexpr milliseconds kRetention{ 300 };
+
+work_options ShortRetention()
+{
+  work_options options;
+  options.mFinishedRetention = kRetention;
+  options.mRemovalInterval = milliseconds(50);
+  return options;
+}
+
 } // namespace
 
+// Guards against running a finished job again from the beginning: its records can not be deleted
+// during an outage of the store, and the listing after the outage still contains it.
+BW_STORY("the records of a finished job are due for deletion during an outage of the store")
+{
+  auto& leader = *new test_leader(ShortRetention());
+  leader.mLeadership.Start();
+  BW_CHECK(leader.RunOnce("a"));
+
+  BW_SECTION("the job does not run again, and its records are deleted after the outage")
+  {
+    leader.mStore.SetDown(true);
+    SleepFor(2 * kRetention);
+    BW_CHECK(leader.mDriver.StoredState("a") == work_state::kCompleted);
+    leader.mStore.SetDown(false);
+    BW_CHECK(WaitFor([&] { return !leader.HasRecords("a"); }));
+    BW_CHECK(WaitFor([&] { return !leader.mDriver.StoredState("a"); }));
+    BW_EQUAL(std::size_t{ 1 }, leader.mWorker.mStarts.size());
+    BW_EQUAL(0, leader.mLosses);
+
+    BW_SECTION("another job may then use its id and runs")
+    {
+      BW_CHECK(leader.RunOnce("a"));
+      BW_EQUAL(std::size_t{ 2 }, leader.mWorker.mStarts.size());
+      BW_CHECK(WaitFor([&] { return !leader.HasRecords("a"); }));
+    }
+  }
+  BW_SECTION("the job is forgotten when only the answer to the deletion is lost")
+  {
+    leader.mStore.LoseAnswers(1);
+    BW_CHECK(WaitFor([&] { return !leader.HasRecords("a"); }));
+    BW_CHECK(WaitFor([&] { return !leader.mDriver.StoredState("a"); }));
+    BW_EQUAL(std::size_t{ 1 }, leader.mWorker.mStarts.size());
+  }
+  BW_SECTION("a job that is accepted under its id before that answer arrives runs and is kept")
+  {
+    leader.mStore.LoseAnswers(1);
+    BW_CHECK(WaitFor([&] { return !leader.HasRecords("a"); }));
+    leader.Accept("a");
+    BW_CHECK(WaitFor([&] { return leader.mWorker.mStarts.size() == 2; }));
+    SleepFor(kRetention);
+    BW_CHECK(leader.HasRecords("a"));
+    BW_CHECK(leader.mDriver.StoredState("a") == work_state::kRunning);
+  }
+  BW_SECTION("a deletion that takes effect late removes nothing of a job that took its id")
+  {
+    leader.mStore.DelayWrites(1);
+    BW_CHECK(WaitFor([&] { return !leader.HasRecords("a"); }));
+    BW_CHECK(leader.RunOnce("a"));
+    leader.mStore.ApplyDelayedWrites();
+    BW_CHECK(leader.HasRecords("a"));
+  }
+  leader.mLeadership.Resign();
+}
+
+// Guards against running a removed job again because of a notification that a suspended host sends
+// late, or that a host of the former version sends without the revision.
+BW_STORY("hosts notify the leader of accepted jobs")
+{
+  auto& leader = *new test_leader(ShortRetention());
+  leader.mLeadership.Start();
+  BW_CHECK(leader.RunOnce("a"));
+  const stored_value accepted = *leader.mStore.Find(work_keys::Accepted("a"));
+  BW_CHECK(WaitFor([&] { return !leader.HasRecords("a"); }));
+  BW_CHECK(WaitFor([&] { return !leader.mDriver.StoredState("a"); }));
+
+  BW_SECTION("a late notification of a removed job is ignored")
+  {
+    leader.mDriver.NotifyStored(accepted);
+    BW_CHECK(!leader.mDriver.StoredState("a"));
+  }
+  BW_SECTION("a notification without a revision adds no job")
+  {
+    stored_value former = accepted;
+    former.mModified = 0;
+    leader.mDriver.NotifyStored(former);
+    BW_CHECK(!leader.mDriver.StoredState("a"));
+  }
+  BW_SECTION("a notification of a new job adds it at once")
+  {
+    stored_value later = accepted;
+    later.mModified = leader.mStore.Revision() + 1;
+    leader.mDriver.NotifyStored(later);
+    BW_CHECK(leader.mDriver.StoredState("a") == work_state::kQueued);
+  }
+  leader.mLeadership.Resign();
+}
+
 // Guards against running a job again, or losing its end, after an outage of the store in which the
 // leader's lease expires, the worker disappears from the registry and a run ends. The leader must
 // claim leadership again and continue from its state in memory.
 BW_STORY("a leader in a store outage that ends its lease and empties the registry")
 {
-  fiber_runtime runtime;
-  metrics counters;
-  // Never deleted: fibers that use these objects keep running after the story has ended.
-  auto& store = *new fake_record_store;
-  auto& worker = *new fake_worker;
-  auto& losses = *new int(0);
-  work_driver::dependencies dependencies;
-  dependencies.mWorkers = &worker;
-  dependencies.mRegistry = &worker;
-  auto& driver = *new work_driver(runtime, store, dependencies, counters, work_options{});
-  leadership* leader = nullptr;
-  leader =
-    new leadership(runtime, store, counters, "n", "n:1", 1.0,
-                   { [&](std::int64_t) {
-                      runtime.Spawn([&] { driver.RunTerm(*leader, [&] { leader->StepDown(); }); });
-                    },
-                     [&] {
-                       ++losses;
-                       driver.LeaveTerm();
-                     },
-                     [&](std::int64_t aEpoch) { driver.ContinueTerm(aEpoch); } });
+  auto& setup = *new test_leader;
+  fake_record_store& store = setup.mStore;
+  fake_worker& worker = setup.mWorker;
+  leadership* leader = &setup.mLeadership;
   const stored_value first = MakeAcceptedJob("a");
   store.Put(first.mKey, first.mValue);
   leader->Start();
@@ -156,7 +293,7 @@
     BW_CHECK(WaitFor([&] { return worker.mEnds.empty(); }));
     BW_CHECK(ProgressState(store.Find(work_keys::Progress("a"))->mValue) == work_state::kCompleted);
     BW_CHECK(leader->Epoch() > epoch);
-    BW_EQUAL(0, losses);
+    BW_EQUAL(0, setup.mLosses);
     BW_EQUAL(std::size_t{ 1 }, worker.mStarts.size());
     BW_EQUAL(0, worker.mStops);
   }
@@ -168,7 +305,7 @@
     BW_CHECK(WaitFor([&] { return worker.mStarts.size() == 2; }));
     BW_EQUAL(leader->Epoch(), worker.mStarts[1].second);
     BW_CHECK(worker.mStarts[1].second > epoch);
-    BW_EQUAL(0, losses);
+    BW_EQUAL(0, setup.mLosses);
   }
   leader->Resign();
 }
--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -104,12 +104,26 @@
   }
 }
 
+bool work_core::IsNewJob(const std::string& aJob, store_revision aAccepted) const
+{
+  const job_entry* known = mState->FindJob(aJob);
+  return known == nullptr ? aAccepted > mState->mFollowedRevision
+                          : known->IsFinished() && aAccepted > known->mAcceptedRevision;
+}
+
 void work_core::AddJob(const stored_job& aJob, instant aNow, wall_time aWallNow)
 {
+  // The id was accepted again, so the records of the job that had it are deleted, although the
+  // answer to that deletion has not arrived.
+  if (const job_entry* known = mState->FindJob(aJob.mJob.mId);
+      known != nullptr && IsNewJob(aJob.mJob.mId, aJob.mAcceptedRevision)) {
+    mState->mJobs.erase(aJob.mJob.mId);
+  }
   const auto [place, isNew] = mState->mJobs.try_emplace(aJob.mJob.mId);
   job_entry& job = place->second;
   if (isNew) {
     job.mSpec = aJob.mJob;
+    job.mAcceptedRevision = aJob.mAcceptedRevision;
     job.mAddedAt = aNow;
     mState->RestoreJob(job, aJob, aNow);
     mState->EmitEvent(work_event_kind::kJobKnown, job.mSpec.mId, {}, {}, job.mSpec.mQueue,
@@ -124,6 +138,11 @@
   }
 }
 
+void work_core::SetFollowedRevision(store_revision aRevision)
+{
+  mState->mFollowedRevision = std::max(mState->mFollowedRevision, aRevision);
+}
+
 void work_core::CancelJob(const std::string& aJob, instant aNow)
 {
   job_entry* job = mState->FindJob(aJob);
@@ -307,21 +326,29 @@
   }
 }
 
-std::vector<std::string> work_core::TakeExpiredJobs(instant aNow)
+// A job that was accepted after the followed revision is not removed yet: its accepted record is
+// still to be read, and would be taken for a new job.
+std::vector<expired_job> work_core::ExpiredJobs(instant aNow) const
 {
-  std::vector<std::string> expired;
+  std::vector<expired_job> expired;
   for (const auto& [id, job] : mState->mJobs) {
     if (job.IsFinished() && job.mChangeStored == job.mChange &&
+        job.mAcceptedRevision <= mState->mFollowedRevision &&
         aNow - job.mFinishedAt > mState->mOptions.mFinishedRetention) {
-      expired.push_back(id);
+      expired.push_back({ id, job.mRevision });
     }
   }
-  for (const std::string& each : expired) {
-    mState->mJobs.erase(each);
-  }
   return expired;
 }
 
+void work_core::ForgetJob(const expired_job& aJob)
+{
+  const job_entry* job = mState->FindJob(aJob.mId);
+  if (job != nullptr && job->IsFinished() && job->mRevision == aJob.mProgressRevision) {
+    mState->mJobs.erase(aJob.mId);
+  }
+}
+
 std::optional<poll_plan> work_core::PlanPoll(const std::string& aWorker, instant aNow)
 {
   const auto found = mState->mWorkers.find(aWorker);
@@ -441,6 +468,12 @@
   return found == mState->mJobs.end() ? std::nullopt : std::optional(found->second.mState);
 }
 
+std::optional<store_revision> work_core::AcceptedRevision(const std::string& aJob) const
+{
+  const job_entry* job = mState->FindJob(aJob);
+  return job == nullptr ? std::nullopt : std::optional(job->mAcceptedRevision);
+}
+
 // A final state that is not stored is reported as running: a new leader that finds no end in the
 // store may have to run the task again.
 std::optional<work_state> work_core::StoredState(const std::string& aJob) const
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -92,10 +92,11 @@
   int mNextOccurrence = 0;                  ///< the first that is not due yet
   std::set<int> mFinishedOccurrences;
 
-  store_revision mRevision = 0;    ///< of the stored progress record
-  std::int64_t mChange = 0;        ///< number of changes to the record
-  std::int64_t mChangeWriting = 0; ///< last change in the write in flight; 0: no write in flight
-  std::int64_t mChangeStored = 0;  ///< last change that is stored
+  store_revision mAcceptedRevision = 0; ///< of the accepted record
+  store_revision mRevision = 0;         ///< of the stored progress record
+  std::int64_t mChange = 0;             ///< number of changes to the record
+  std::int64_t mChangeWriting = 0;      ///< last change in the write in flight; 0: none in flight
+  std::int64_t mChangeStored = 0;       ///< last change that is stored
 
   bool IsFinished() const { return IsFinal(mState); }
   bool NeedsWrite() const { return mChange > mChangeStored && mChangeWriting == 0; }
@@ -198,6 +199,8 @@
   instant mTermSince;
   work_settings mSettings;
   std::map<std::string, job_entry> mJobs;
+  /// All jobs accepted up to this revision were added; those that are unknown now were removed.
+  store_revision mFollowedRevision = 0;
   std::map<std::string, worker_entry> mWorkers;
   std::vector<work_action> mActions;
   bool mReplan = false; ///< something changed that may allow a task to be placed
