A job that is submitted again after its end was dropped from memory does not run again

What callers would see: 10 minutes after a job's end, a submission under the same id and specification was accepted by briarwind-scheduler and ran the job a second time, also one that may not be repeated.

Cause: the first write of the submission met the ended job's record. A record of the same term and specification counted as an unconfirmed earlier write of the same submission, and was overwritten.

Change: a final record met by a job without a stored record and without a started member is taken over, and the submission is answered as known. Ruled out: records of an earlier term (they are restored as at a takeover, final ones as ended). Open: a repeatable claim started in an outage.

Test: libjobs.job_core_test "a job is submitted again after its end was dropped from memory" failed before ("starts" differ) and passes now; all tests of libjobs pass. No protocol changed, so no model.

--- a/src/libjobs/core_records.cpp
+++ b/src/libjobs/core_records.cpp
@@ -4,6 +4,19 @@
 
 namespace briarwind {
 
+namespace {
+
+// Whether a final record in the store is of a job with the same id and specification whose end was
+// dropped from memory before aJob was submitted. No record of aJob itself is stored then, and no
+// member of it was started.
+bool IsOfEndedJob(const job_entry& aJob, const job_record& aStored)
+{
+  return aJob.mRevision == 0 && aJob.mPhase != job_phase::kEnded && !aJob.mAnyStarted &&
+         IsFinal(aStored.mState);
+}
+
+} // namespace
+
 void job_core::state::WriteRecord(job_entry& aJob)
 {
   aJob.mDirty = true;
@@ -65,6 +78,12 @@
 {
   const bool ours =
     aEvent.mCurrent && aEvent.mCurrent->mEpoch == mEpoch && aEvent.mCurrent->mSpec == aJob.Spec();
+  if (ours && IsOfEndedJob(aJob, *aEvent.mCurrent)) {
+    AnswerPendingSubmissions(aJob, submission_outcome::kAccepted, "known");
+    DropForeignJob(aJob);
+    RestoreJob({ *aEvent.mCurrent, aEvent.mRevision }, {});
+    return;
+  }
   if (ours) {
     // An earlier write by this process took effect although its outcome was reported as unknown.
     aJob.mRevision = aEvent.mRevision;
--- a/src/libjobs/job_core_test.cpp
+++ b/src/libjobs/job_core_test.cpp
@@ -415,6 +415,45 @@
   }
 }
 
+// Guards against a second run of a job whose end the leader no longer has in memory: the stored
+// record of its end must not be taken for an unconfirmed write of the new submission.
+BW_STORY("a job is submitted again after its end was dropped from memory")
+{
+  leader_fixture system(2, 1);
+  job_spec spec = MakeJob("j", 1);
+  bool storeIsUp = true;
+  BW_SECTION("the job may be repeated") {}
+  BW_SECTION("the job may not be repeated")
+  {
+    spec.mRepeatable = false;
+    BW_SECTION("and is submitted while the store is unreachable")
+    {
+      spec.mOrganisation = "owner";
+      spec.mGuaranteed = true;
+      storeIsUp = false;
+    }
+  }
+  system.Submit(spec);
+  system.RunFor(seconds(12));
+  BW_CHECK(system.StateOf("j") == job_state::kFinished);
+  system.RunFor(job_options{}.mEndedJobRetention);
+  BW_CHECK(!system.mPlatform.Core().Find("j"));
+  const std::size_t starts = system.ActionsOf<start_lease>().size();
+  system.mPlatform.SetStoreUp(storeIsUp);
+  system.Submit(spec);
+  system.RunFor(seconds(2));
+  system.mPlatform.SetStoreUp(true);
+  system.RunFor(seconds(12));
+
+  BW_CHECK(system.LastAnswer() ==
+           (storeIsUp ? submission_outcome::kAccepted : submission_outcome::kInMemory));
+  BW_EQUAL(starts, system.ActionsOf<start_lease>().size());
+  BW_CHECK(system.StateOf("j") == job_state::kFinished);
+  BW_CHECK(system.mPlatform.Store()["j"].mRecord.mState == job_state::kFinished);
+  system.RunFor(job_options{}.mEndedJobRetention);
+  BW_CHECK(!system.mPlatform.Core().Find("j"));
+}
+
 // The previous leader may still write a record after the new one has read the store. The write
 // conflict shows only when the new leader writes the job itself.
 BW_STORY("a new leader adopts a record that its predecessor wrote after the takeover")
