A failed run of a gang counts once, whichever leaders read its members' ends

An accepted job was lost.

Cause: the mark that keeps the second end of a run from counting again was not in the progress record. The restored count was wrong too: the greatest of the members' counts in place of their sum, so that a gang could be started more often than its attempts (BUDGET).

Evidence: logs of a run on the former code: the first leader counts run 1 with one member's end, the second leader counts it with the other's, run 2 fails, "failed 3 times". Ruled out: one end reported twice (two members), a lost write (the first end was acknowledged, hence stored).

Change: the record has a field "failed" with the last counted run of each gang; the count is the sum of the members' counts, no longer a second number.

Tests: libwork.work_core_test "the runs of a gang fail while leaders change": each of its two sections failed on the former code; libwork.work_record_test is new.

--- a/src/libwork/work_core_test.cpp
+++ b/src/libwork/work_core_test.cpp
@@ -193,6 +193,73 @@
   BW_CHECK(fleet.mViolations.empty());
 }
 
+// Guards against a gang's failed run that is counted twice, or not at all, because the next leader
+// cannot read from the record which runs were counted.
+BW_STORY("the runs of a gang fail while leaders change")
+{
+  constexpr int kMembers = 2;
+  constexpr int kAttempts = 3; // of the simulation's queue
+  fleet_simulation fleet(8, 4);
+  fleet.mFailingJobs.insert("a");
+  fleet.Run(milliseconds(200));
+  const auto runUntil = [&](const auto& aCondition) {
+    for (int i = 0; i < 2'000 && !aCondition(); ++i) {
+      fleet.Run(milliseconds(10));
+    }
+    return aCondition();
+  };
+  const auto runsStarted = [&](int aRuns) {
+    return runUntil([&] { return fleet.Starts("a") == aRuns * kMembers; });
+  };
+
+  const auto workerOf = [&](int aMember) {
+    for (int i = 0; i < fleet.WorkerCount(); ++i) {
+      const auto& runs = fleet.Worker(i).mRuns;
+      if (!runs.empty() && runs.begin()->first.mTask.mIndex == aMember) {
+        return i;
+      }
+    }
+    return -1;
+  };
+
+  BW_SECTION("a run whose members' ends are read by two leaders counts once")
+  {
+    fleet.Submit(Gang("a", "batch", kMembers, 8), milliseconds(2'000));
+    BW_CHECK(runsStarted(1));
+    const int unreachable = workerOf(1);
+    fleet.Run(milliseconds(500));
+    fleet.SetPartitioned(unreachable, true);
+    fleet.Run(milliseconds(2'500));
+    BW_EQUAL(1, fleet.Core().Counts().mLiveRuns);
+    fleet.ChangeLeader();
+    fleet.Run(milliseconds(1'000));
+    fleet.SetPartitioned(unreachable, false);
+    BW_CHECK(runsStarted(2));
+    BW_CHECK(runsStarted(3));
+    BW_CHECK(runUntil([&] { return fleet.StoredState("a") == work_state::kFailed; }));
+  }
+  BW_SECTION("runs that were counted by different leaders are added up")
+  {
+    fleet.Submit(Gang("a", "batch", kMembers, 8), milliseconds(500));
+    for (int i = 1; i <= kAttempts; ++i) {
+      BW_CHECK(runsStarted(i));
+      // The failure of each run is first reported by another member.
+      const int unreachable = workerOf(i % kMembers);
+      fleet.SetPartitioned(unreachable, true);
+      fleet.Run(milliseconds(1'500));
+      fleet.SetPartitioned(unreachable, false);
+      if (i < kAttempts) {
+        BW_CHECK(runsStarted(i + 1));
+        fleet.ChangeLeader();
+      }
+    }
+    BW_CHECK(runUntil([&] { return fleet.StoredState("a") == work_state::kFailed; }));
+    fleet.Run(milliseconds(3'000));
+    BW_EQUAL(kAttempts * kMembers, fleet.Starts("a"));
+  }
+  BW_CHECK(fleet.mViolations.empty());
+}
+
 // Guards against a second run of a task while its first may still be running on a worker that does
 // not answer, and against waiting longer than needed once the worker has restarted.
 BW_STORY("a worker stops answering while it runs tasks")
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -129,6 +129,11 @@
       }
     }
   }
+  for (const progress_failure& each : record.mFailures) {
+    if (step_entry* step = FindStep({ aJob.mSpec.mId, each.mOccurrence, each.mStep, 0 })) {
+      step->mLastFailedRun = each.mRun;
+    }
+  }
   for (const progress_task& each : record.mTasks) {
     task_entry* task = FindTask(each.mTask);
     if (task == nullptr || task->mPhase == task_phase::kDone) {
@@ -137,8 +142,6 @@
     task->mRun = each.mRun;
     task->mFailures = each.mFailures;
     task->mCheckpoint = each.mCheckpoint;
-    step_entry* step = FindStep(each.mTask);
-    step->mFailedRuns = std::max(step->mFailedRuns, each.mFailures);
     if (!each.mWorker.empty()) {
       task->mPhase = task_phase::kLive;
       task->mWorker = each.mWorker;
--- a/src/libwork/work_record.cpp
+++ b/src/libwork/work_record.cpp
@@ -51,6 +51,11 @@
   return row;
 }
 
+json::array FailureRow(int aOccurrence, int aStep, const step_entry& aEntry)
+{
+  return { aOccurrence, aStep, aEntry.mLastFailedRun };
+}
+
 std::int64_t IntAt(const json::array& aRow, std::size_t aIndex)
 {
   const json::value* value = aRow.if_contains(aIndex);
@@ -82,12 +87,18 @@
   return done;
 }
 
+progress_failure ReadFailure(const json::array& aRow)
+{
+  return { static_cast<int>(IntAt(aRow, 0)), static_cast<int>(IntAt(aRow, 1)), IntAt(aRow, 2) };
+}
+
 } // namespace
 
 std::string FormatProgress(const job_entry& aJob, std::int64_t aEpoch)
 {
   json::array done;
   json::array tasks;
+  json::array failures;
   if (!aJob.IsFinished()) {
     for (const occurrence_entry& occurrence : aJob.mOccurrences) {
       for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
@@ -96,6 +107,9 @@
         if (entry.mDone > 0) {
           done.emplace_back(DoneRow(occurrence.mNumber, number, entry));
         }
+        if (entry.mLastFailedRun > 0 && !entry.IsDone()) {
+          failures.emplace_back(FailureRow(occurrence.mNumber, number, entry));
+        }
         for (std::size_t i = 0; i < entry.mTasks.size(); ++i) {
           const task_entry& task = entry.mTasks[i];
           if (task.mPhase == task_phase::kDone || IsUntouched(task)) {
@@ -110,6 +124,9 @@
   json::object record{ { "state", ToString(aJob.mState) }, { "epoch", aEpoch },
                        { "change", aJob.mChange },         { "next", aJob.mNextOccurrence },
                        { "done", std::move(done) },        { "tasks", std::move(tasks) } };
+  if (!failures.empty()) {
+    record["failed"] = std::move(failures);
+  }
   if (!aJob.mReason.empty()) {
     record["reason"] = aJob.mReason;
   }
@@ -140,6 +157,11 @@
       record.mTasks.push_back(ReadTask(each.get_array(), aJob));
     }
   }
+  for (const json::value& each : ArrayField(object, "failed")) {
+    if (each.is_array()) {
+      record.mFailures.push_back(ReadFailure(each.get_array()));
+    }
+  }
   return record;
 }
 
--- a/src/libwork/work_record.h
+++ b/src/libwork/work_record.h
@@ -4,8 +4,9 @@
 
 namespace briarwind {
 
-/// JSON of a job's progress record: state, tasks that are done, live runs with their workers, and
-/// run numbers, failures and checkpoints of waiting tasks that were started before.
+/// JSON of a job's progress record: state, tasks that are done, live runs with their workers, run
+/// numbers, failures and checkpoints of waiting tasks that were started before, and the last failed
+/// run of each gang.
 std::string FormatProgress(const job_entry& aJob, std::int64_t aEpoch);
 
 /// Row of a task that was started at least once and is not done.
@@ -26,6 +27,14 @@
   std::vector<int> mTasks; ///< empty: all
 };
 
+/// The run of a gang that was last counted as failed.
+struct progress_failure
+{
+  int mOccurrence = 0;
+  int mStep = 0;
+  run_number mRun = 0;
+};
+
 /// A parsed progress record.
 struct progress_record
 {
@@ -35,6 +44,7 @@
   std::vector<int> mFinishedOccurrences;
   std::vector<progress_done> mDone;
   std::vector<progress_task> mTasks;
+  std::vector<progress_failure> mFailures; ///< empty in records of former versions
 };
 
 /// Fails when the text is no JSON object; fields that are missing or malformed read as empty.
--- /dev/null
+++ b/src/libwork/work_record_test.cpp
@@ -0,0 +1,61 @@
+#include "work_record.h"
+
+#include "testing/sample_jobs.h"
+
+#include "briarwind/testing.h"
+
+using namespace briarwind;
+using namespace briarwind::testing;
+
+namespace {
+
+constexpr const char* kFormerRecord =
+  R"({"state":"running","epoch":3,"change":9,"next":1,"done":[],)"
+  R"("tasks":[[0,0,0,2,1,"",""],[0,0,1,2,1,"",""]]})";
+constexpr const char* kRecord = R"({"state":"running","epoch":3,"change":9,"next":1,"done":[],)"
+                                R"("tasks":[[0,0,0,2,1,"",""],[0,0,1,2,1,"",""]],)"
+                                R"("failed":[[0,0,2]]})";
+
+// The record that a new leader writes when it has read aRecord and placed the job again.
+std::string RewriteRecord(const char* aRecord)
+{
+  work_core core;
+  const instant now = instant() + std::chrono::hours(1);
+  core.BeginTerm(5, now);
+  core.SetSettings(BatchSettings(), now);
+  core.SetWorkers({ Worker("w") }, now);
+  worker_report idle;
+  idle.mIncarnation = 1;
+  core.OnReport("w", idle, now, now);
+  core.AddJob({ Gang("a", "batch", 2, 1), false, aRecord, 7 }, now, wall_time());
+  core.Decide(now, wall_time());
+  const std::vector<progress_write> writes = core.TakeWrites(1);
+  return writes.empty() ? std::string() : writes.front().mValue;
+}
+
+} // namespace
+
+// Guards against marks and counts that a new leader cannot read back, and against records of the
+// former version that become unreadable.
+BW_STORY("a progress record is read and written again by a new leader")
+{
+  BW_SECTION("the run of a gang that was counted as failed last is kept")
+  {
+    const std::string rewritten = RewriteRecord(kRecord);
+    const auto record = ToIoResult([&] { return ParseProgress(rewritten, "a"); });
+    BW_CHECK(record.has_value());
+    BW_EQUAL(std::size_t{ 1 }, record.value().mFailures.size());
+    BW_EQUAL(run_number{ 2 }, record.value().mFailures.front().mRun);
+    BW_EQUAL(run_number{ 3 }, record.value().mTasks.front().mRun);
+  }
+  BW_SECTION("a record of the former version has no such run, and keeps its counts")
+  {
+    const std::string rewritten = RewriteRecord(kFormerRecord);
+    const auto record = ToIoResult([&] { return ParseProgress(rewritten, "a"); });
+    BW_CHECK(record.has_value());
+    BW_CHECK(record.value().mFailures.empty());
+    BW_EQUAL(std::size_t{ 2 }, record.value().mTasks.size());
+    BW_EQUAL(1, record.value().mTasks[0].mFailures);
+    BW_EQUAL(1, record.value().mTasks[1].mFailures);
+  }
+}
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -130,13 +130,14 @@
   }
   const work_step& spec = job->mSpec.mSteps[static_cast<std::size_t>(aRun.mTask.mStep)];
   task->mFailedOn.insert(aWorker);
-  // The failure of a gang counts once, whichever of its members report it.
-  if (!spec.mGang || step->mLastFailedRun != aRun.mRun) {
-    step->mLastFailedRun = aRun.mRun;
-    ++step->mFailedRuns;
+  // The failure of a gang counts once, whichever of its members report it, and whichever leader
+  // reads the report.
+  if (!spec.mGang) {
+    ++task->mFailures;
+  } else if (std::exchange(step->mLastFailedRun, aRun.mRun) != aRun.mRun) {
     ++task->mFailures;
   }
-  const int failures = spec.mGang ? step->mFailedRuns : task->mFailures;
+  const int failures = spec.mGang ? step->FailedGangRuns() : task->mFailures;
   const auto queue = mSettings.mQueues.find(job->mSpec.mQueue);
   const int attempts =
     queue == mSettings.mQueues.end() ? job->mSpec.mPolicy.mAttempts : queue->second.mAttempts;
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -58,9 +58,8 @@
 
 bool HasFailed(const step_entry& aStep)
 {
-  return aStep.mFailedRuns > 0 || std::ranges::any_of(aStep.mTasks, [](const task_entry& aTask) {
-           return aTask.mFailures > 0;
-         });
+  return std::ranges::any_of(aStep.mTasks,
+                             [](const task_entry& aTask) { return aTask.mFailures > 0; });
 }
 
 int TotalAccelerators(const work_job& aJob)
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <list>
 #include <map>
+#include <numeric>
+#include <ranges>
 #include <set>
 #include <string>
 #include <utility>
@@ -45,7 +47,7 @@
   task_phase mPhase = task_phase::kWaiting;
   run_number mRun = 0; ///< of the last start
   std::string mWorker; ///< of the claim or of the live run
-  int mFailures = 0;
+  int mFailures = 0;   ///< failed runs; a gang's failed run counts for one of its members only
   std::string mCheckpoint;
   std::set<std::string> mFailedOn; ///< workers on which a run of the task failed
 };
@@ -63,14 +65,19 @@
 {
   std::vector<task_entry> mTasks;
   int mDone = 0;                 ///< tasks that are done
-  int mFailedRuns = 0;           ///< gang only: runs that failed
-  run_number mLastFailedRun = 0; ///< gang only
+  run_number mLastFailedRun = 0; ///< gang only: the run that was last counted as failed
   instant mReadySince;           ///< since when the step is ready or has a task queued again
   bool mReady = false;           ///< all steps that it depends on are done
   std::map<std::string, advised_worker> mAdvice; ///< by worker
   bool mAdvicePending = false;                   ///< a request to the advisor is in flight
 
   bool IsDone() const { return mDone == static_cast<int>(mTasks.size()); }
+  /// Failed runs of a gang, each counted once.
+  int FailedGangRuns() const
+  {
+    const auto failures = mTasks | std::views::transform(&task_entry::mFailures);
+    return std::accumulate(failures.begin(), failures.end(), 0);
+  }
 };
 
 struct occurrence_entry
