One odd entry no longer stops routers and schedulers from following the host list

What operators would see: with one entry that is nested too deeply, has a number or a port out of range, or has no name, the whole list was unreadable: routers and schedulers kept the last one, so that hosts that were added were not used and hosts that were removed still were.

Cause: the list is one JSON document, and one entry that the parser or the decoder refuses failed it all. An unknown kind counted as a worker. Ruled out: briarwind-node, whose registry has one value an entry (testsuite.registry_odd_entries).

Change: json_split cuts the document into the texts of its entries, each is parsed alone; entries that describe no host are left out, counted in briarwind_host_list_unreadable_entries and logged once (BW1013). The tracking of entries already logged is shared with the registry of workers.

--- a/src/include/briarwind/host_list.h
+++ b/src/include/briarwind/host_list.h
@@ -36,11 +36,14 @@
 {
   std::int64_t mVersion = 0;
   std::vector<host> mHosts;
+  /// Entries that describe no host, by name, or by the beginning of their text.
+  std::vector<std::string> mUnreadable;
 };
 
-/// Parses the JSON form described in docs/API.md. Fails with kProtocol when the text is not of that
-/// form, and with kInvalid when a host's address is not `ip:port`. Absent or mistyped fields other
-/// than a host's name and address get the defaults of their type.
+/// Parses the JSON form described in docs/API.md. Fails with kProtocol when the text is no object
+/// with a list of hosts. An entry describes no host when it cannot be parsed, has no name, no known
+/// kind or no address with a port, or has a capacity that is no number or out of range. Other
+/// fields that are absent or mistyped get the defaults of their type.
 result<host_list> ParseHostList(std::string_view aJson);
 
 } // namespace briarwind
--- a/src/include/briarwind/host_poller.h
+++ b/src/include/briarwind/host_poller.h
@@ -5,6 +5,7 @@
 #include "briarwind/http_client.h"
 #include "briarwind/log.h"
 #include "briarwind/metrics.h"
+#include "briarwind/unreadable_entries.h"
 
 #include <cstddef>
 #include <functional>
@@ -21,6 +22,15 @@
 inline constexpr event_kind kHostListOlder{ 1012, log_level::kWarning, "host-list.older",
                                             "The host list that was read is older than the one in "
                                             "use and was ignored." };
+inline constexpr event_kind kHostListUnreadable{
+  1013, log_level::kWarning, "host-list.unreadable-entries",
+  "Entries of the host list describe no host and are ignored; `entries` names the first of the new "
+  "ones."
+};
+inline constexpr metric_kind kHostListUnreadableEntries{
+  metric_type::kGauge, "briarwind_host_list_unreadable_entries", "",
+  "Entries of the host list that describe no host, as last read."
+};
 inline constexpr metric_kind kHostListFailures{ metric_type::kCounter,
                                                 "briarwind_host_list_failures_total", "",
                                                 "Failed reads of the host list." };
@@ -47,6 +57,7 @@
 private:
   io_result<host_list> FetchList();
   void Accept(const host_list& aList);
+  void RecordUnreadable(const std::vector<std::string>& aEntries);
   void HandleFailure(const error& aError);
 
   std::vector<endpoint> mSources;
@@ -59,6 +70,7 @@
   bool mHasList = false;
   std::int64_t mVersion = 0;
   int mConsecutiveOlder = 0;
+  unreadable_entries mUnreadable;
 };
 
 } // namespace briarwind
--- a/src/libcontrol/registry_reader.cpp
+++ b/src/libcontrol/registry_reader.cpp
@@ -2,20 +2,10 @@
 
 #include "control_events.h"
 
-#include <fmt/ranges.h>
-
-#include <algorithm>
-#include <ranges>
+#include <utility>
 
 namespace briarwind {
 
-namespace {
-
-// Most entries that one log line names; the others are only counted.
-constexpr std::size_t kMaxNamedEntries = 5;
-
-} // namespace
-
 registry_reader::registry_reader(worker_registry& aRegistry, metrics& aMetrics)
   : mRegistry(aRegistry)
   , mMetrics(aMetrics)
@@ -41,19 +31,14 @@
   }
 }
 
-// Logs only entries that were not unreadable at the previous read; otherwise each read would log
-// the same entries again.
 void registry_reader::RecordUnreadable(const std::vector<std::string>& aEntries)
 {
-  std::set<std::string> entries(aEntries.begin(), aEntries.end());
-  std::vector<std::string> added;
-  std::ranges::set_difference(entries, mUnreadable, std::back_inserter(added));
-  mUnreadable = std::move(entries);
-  mMetrics.Set(kRegistryUnreadableEntries, static_cast<double>(mUnreadable.size()));
+  const std::vector<std::string> added = mUnreadable.Replace(aEntries);
+  mMetrics.Set(kRegistryUnreadableEntries, static_cast<double>(mUnreadable.Count()));
   if (!added.empty()) {
-    const auto named = added | std::views::take(kMaxNamedEntries);
-    LogEvent(kRegistryUnreadable, { Field("entries", fmt::format("{}", fmt::join(named, " "))),
-                                    Field("new", added.size()), Field("all", mUnreadable.size()) });
+    LogEvent(kRegistryUnreadable,
+             { Field("entries", unreadable_entries::Summarise(added)), Field("new", added.size()),
+               Field("all", mUnreadable.Count()) });
   }
 }
 
--- a/src/libcontrol/registry_reader.h
+++ b/src/libcontrol/registry_reader.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "briarwind/metrics.h"
+#include "briarwind/unreadable_entries.h"
 #include "briarwind/worker_gateway.h"
 
-#include <set>
 #include <string>
 #include <vector>
 
@@ -26,7 +26,7 @@
   worker_registry& mRegistry;
   metrics& mMetrics;
   bool mIsReachable = true;
-  std::set<std::string> mUnreadable;
+  unreadable_entries mUnreadable;
 };
 
 } // namespace briarwind
--- a/src/libnet/host_poller.cpp
+++ b/src/libnet/host_poller.cpp
@@ -17,13 +17,14 @@
 
 std::span<const event_kind> HostListEvents()
 {
-  static constexpr std::array kAll{ kHostListLost, kHostListBack, kHostListOlder };
+  static constexpr std::array kAll{ kHostListLost, kHostListBack, kHostListOlder,
+                                    kHostListUnreadable };
   return kAll;
 }
 
 std::span<const metric_kind> HostListMetrics()
 {
-  static constexpr std::array kAll{ kHostListFailures };
+  static constexpr std::array kAll{ kHostListFailures, kHostListUnreadableEntries };
   return kAll;
 }
 
@@ -84,10 +85,22 @@
   mHasList = true;
   mVersion = aList.mVersion;
   if (!isUnchanged) {
+    RecordUnreadable(aList.mUnreadable);
     mObserver(aList);
   }
 }
 
+void host_poller::RecordUnreadable(const std::vector<std::string>& aEntries)
+{
+  const std::vector<std::string> added = mUnreadable.Replace(aEntries);
+  mMetrics.Set(kHostListUnreadableEntries, static_cast<double>(mUnreadable.Count()));
+  if (!added.empty()) {
+    LogEvent(kHostListUnreadable,
+             { Field("entries", unreadable_entries::Summarise(added)), Field("new", added.size()),
+               Field("all", mUnreadable.Count()) });
+  }
+}
+
 void host_poller::HandleFailure(const error& aError)
 {
   mMetrics.Count(kHostListFailures);
