A cancellation is written only while the job that it is for is stored

What callers would see: a cancellation that comes while the leader removes the finished job leaves its key in the store for good; the next job under that id cannot be cancelled, although its caller gets 200.

Cause: the write depended on there being no cancellation yet, not on the accepted record that was read before, and any record found by a rejected write counted as the job's.

Change: the write is conditional on the accepted record; 410 when it is gone or another job has the id. spec/retention.pml has the property Cancelled and two more seeded faults.

Tests: libcontrol.job_intake_test "leaves no cancellation of a job that is removed at the same time" failed before and passes.

--- a/spec/retention.pml
+++ b/spec/retention.pml
@@ -12,6 +12,7 @@
  * Properties
  *   OnceOver  a job that has ended does not start again.
  *   Unended   the records of a job that has not ended are not deleted.
+ *   Cancelled a cancellation is stored and applied only for the job that it was written for.
  *   Known     once a listing is applied, the leader knows each job that was accepted before the
  *             listing and is still stored. It would neither run nor delete any other.
  *
@@ -26,10 +27,13 @@
  *   FAULT_ANY_REVISION      the deletion has no condition on the progress record.
  *   FAULT_ID_IS_IDENTITY    a record with a known id counts as the known job.
  *   FAULT_UNFOLLOWED        a job is removed before a listing has reached its acceptance.
+ *   FAULT_CANCEL_ANY        a cancellation is written although the job was removed since it was read.
+ *   FAULT_STALE_CANCEL      a listed cancellation is applied to whatever job has the id.
  *   FAULT_FORGET_ANY        an answer to a deletion removes whatever job has the id by then.
  *
  * Implemented by: src/libwork/work_core.cpp (IsNewJob, AddJob, ExpiredJobs, ForgetJob),
- * src/libcontrol/work_driver.cpp (listings, notifications),
+ * src/libcontrol/work_driver.cpp (listings, notifications, cancellations),
+ * src/libcontrol/job_intake.cpp (condition of a cancellation),
  * src/libcontrol/work_driver_records.cpp (deletion).
  */
 
@@ -40,6 +44,8 @@
 byte revision = 1;
 byte accepted = 0; /* revision of the accepted record */
 byte progress = 0; /* revision of the progress record */
+byte cancel = 0; /* revision of the cancellation */
+byte cancelFor = 0; /* the job, by its accepted revision, that it was written for */
 
 /* Truth, for the properties. */
 byte jobs = 0; /* jobs that were accepted */
@@ -56,6 +62,8 @@
 /* Listing in flight. */
 bool listing = false;
 byte listedAccepted = 0;
+byte listedCancel = 0;
+byte listedCancelFor = 0;
 byte listedRevision = 0;
 
 /* Deletion in flight, and its answer. */
@@ -101,6 +109,7 @@
   do
   :: atomic {
       (accepted == 0 && jobs < MAX_JOBS) ->
+      assert(cancel == 0); /* Cancelled */
       revision++;
       accepted = revision;
       jobs++;
@@ -113,6 +122,27 @@
   od
 }
 
+/* A caller's cancellation: one host reads the accepted record, then writes. */
+active proctype Canceller()
+{
+  byte seen = 0;
+  atomic { accepted != 0 -> seen = accepted };
+  atomic {
+    if
+#ifdef FAULT_CANCEL_ANY
+    :: cancel == 0 ->
+#else
+    :: (accepted == seen && cancel == 0) ->
+#endif
+      revision++;
+      cancel = revision;
+      cancelFor = seen
+    :: else -> skip
+    fi;
+    assert(cancel == 0 || cancelFor == accepted) /* Cancelled */
+  }
+}
+
 active proctype Leader()
 {
   do
@@ -120,6 +150,8 @@
     atomic { !listing && (revision > followed || followed == 0) ->
       listing = true;
       listedAccepted = accepted;
+      listedCancel = cancel;
+      listedCancelFor = cancelFor;
       listedRevision = revision
     }
   :: /* the listing is applied */
@@ -129,6 +161,15 @@
       assert(!(listedAccepted != 0 && known == 0 && listedAccepted <= followed));
 #endif
       Add(listedAccepted);
+      if
+#ifdef FAULT_STALE_CANCEL
+      :: (listedCancel != 0 && known != 0) ->
+#else
+      :: (listedCancel != 0 && known != 0 && listedCancel > known) ->
+#endif
+        assert(listedCancelFor == known) /* Cancelled */
+      :: else -> skip
+      fi;
       followed = (listedRevision > followed -> listedRevision : followed);
       listing = false;
       assert(accepted == 0 || accepted > listedRevision || known == accepted) /* Known */
@@ -177,7 +218,9 @@
         assert(accepted == 0 || ended[accepted]); /* Unended */
         revision++;
         accepted = 0;
-        progress = 0
+        progress = 0;
+        cancel = 0;
+        cancelFor = 0
       :: else -> skip
       fi;
       if
--- a/src/libcontrol/job_intake.cpp
+++ b/src/libcontrol/job_intake.cpp
@@ -18,6 +18,17 @@
 // reachable; then the caller has to retry.
 constexpr int kAttemptsBeforeRefusal = 3;
 
+// Whether a transaction that was not made has found the accepted record that it is about. The first
+// condition is on that record; with revision 0 it is about any.
+bool HasAcceptedRecord(const store_transaction& aTransaction, const transaction_result& aResult)
+{
+  const store_condition& accepted = aTransaction.mConditions.front();
+  return std::ranges::any_of(aResult.mCurrent, [&](const stored_value& aValue) {
+    return aValue.mKey == accepted.mKey &&
+           (accepted.mRevision == 0 || accepted.mRevision == aValue.mModified);
+  });
+}
+
 } // namespace
 
 job_intake::job_intake(record_store& aStore, metrics& aMetrics, stored_observer aObserver)
@@ -45,7 +56,7 @@
       mObserver({ write.mKey, write.mValue, done.value().mRevision, done.value().mRevision, 0 });
     }
     if (done) {
-      const bool exists = done.value().mCommitted || !done.value().mCurrent.empty();
+      const bool exists = done.value().mCommitted || HasAcceptedRecord(aTransaction, done.value());
       return { exists ? intake_outcome::kAccepted : intake_outcome::kUnknownJob, {} };
     }
     reason = ToString(done.error().mKind);
@@ -67,6 +78,9 @@
   return CommitWithRetries(transaction, aDeadline);
 }
 
+// Conditional on the accepted record, because the leader may remove the job in the meantime: nobody
+// would delete the cancellation then, and it would stand for the cancellation of the next job with
+// this id.
 intake_answer job_intake::Cancel(const std::string& aJob, instant aDeadline)
 {
   const auto job = mStore.Get(work_keys::Accepted(aJob),
@@ -78,7 +92,8 @@
     return { intake_outcome::kUnknownJob, {} };
   }
   store_transaction transaction;
-  transaction.mConditions.push_back({ work_keys::Cancel(aJob), 0 });
+  transaction.mConditions = { { work_keys::Accepted(aJob), job.value()->mModified },
+                              { work_keys::Cancel(aJob), 0 } };
   transaction.mWrites.push_back({ work_keys::Cancel(aJob), "cancelled", 0 });
   return CommitWithRetries(transaction, aDeadline);
 }
--- a/src/libcontrol/job_intake_test.cpp
+++ b/src/libcontrol/job_intake_test.cpp
@@ -107,6 +107,29 @@
              intake_outcome::kAccepted);
     BW_CHECK(store.Find(work_keys::Cancel("a")) != nullptr);
   }
+  BW_SECTION("leaves no cancellation of a job that is removed at the same time")
+  {
+    intake.Accept(MakeJob("a"), DeadlineIn(milliseconds(500)));
+    // The removal comes between the read and the write of the cancellation.
+    const int calls = store.Calls();
+    store.mBeforeCall = [&] {
+      if (store.Calls() == calls + 2) {
+        store.Remove(work_keys::Accepted("a"));
+      }
+    };
+    BW_CHECK(intake.Cancel("a", DeadlineIn(milliseconds(500))).mOutcome ==
+             intake_outcome::kUnknownJob);
+    BW_CHECK(store.Find(work_keys::Cancel("a")) == nullptr);
+
+    BW_SECTION("so that a job under the same id can be cancelled")
+    {
+      store.mBeforeCall = {};
+      intake.Accept(MakeJob("a"), DeadlineIn(milliseconds(500)));
+      BW_CHECK(intake.Cancel("a", DeadlineIn(milliseconds(500))).mOutcome ==
+               intake_outcome::kAccepted);
+      BW_CHECK(store.Find(work_keys::Cancel("a")) != nullptr);
+    }
+  }
   BW_SECTION("reports no state when the store could not be read")
   {
     store.SetDown(true);
