The next leader stops the members of a gang that has lost others

What callers would see: one member of a gang fails, the stop of the others does not arrive and the leader changes: the others run on alone, and the gang is not started again before they end.

Cause: the decision to stop a run is only in memory; a restored run that its worker lists counted as running whatever its gang. Ruled out: runs of ended jobs (stopped as orphans), evictions and stalls (decided anew).

Change: such a run is stopped when the record shows that members are not in the same run.

Tests: libwork.work_core_test "the members that are left are stopped by the next leader as well" failed before (2 starts in place of 4) and passes.

--- a/src/libwork/work_core_test.cpp
+++ b/src/libwork/work_core_test.cpp
@@ -238,6 +238,25 @@
     BW_CHECK(runsStarted(3));
     BW_CHECK(runUntil([&] { return fleet.StoredState("a") == work_state::kFailed; }));
   }
+  BW_SECTION("the members that are left are stopped by the next leader as well")
+  {
+    // The stop order of the first leader does not reach the worker of the second member.
+    fleet.mFailingJobs.clear();
+    fleet.Submit(Gang("a", "batch", kMembers, 8), milliseconds(12'000));
+    BW_CHECK(runsStarted(1));
+    fleet.Worker(workerOf(0)).mRuns.begin()->second.mFails = true; // at half its run time
+    const int unreachable = workerOf(1);
+    fleet.Run(milliseconds(5'500));
+    fleet.SetPartitioned(unreachable, true);
+    fleet.Run(milliseconds(1'000));
+    BW_EQUAL(1, fleet.LiveRuns("a"));
+    fleet.ChangeLeader();
+    fleet.Run(milliseconds(500));
+    fleet.SetPartitioned(unreachable, false);
+    fleet.Run(milliseconds(1'500));
+    BW_EQUAL(2 * kMembers, fleet.Starts("a"));
+    BW_CHECK(runUntil([&] { return fleet.StoredState("a") == work_state::kCompleted; }));
+  }
   BW_SECTION("runs that were counted by different leaders are added up")
   {
     fleet.Submit(Gang("a", "batch", kMembers, 8), milliseconds(500));
--- a/src/libwork/work_reports.cpp
+++ b/src/libwork/work_reports.cpp
@@ -57,6 +57,19 @@
   }
 }
 
+// Whether members of the run's gang have ended or were requeued. An earlier leader has stopped the
+// other members then, but its stop orders may not have arrived.
+bool work_core::state::LacksGangMembers(const run_id& aRun)
+{
+  const work_step* spec = FindSpec(aRun.mTask);
+  const step_entry* step = FindStep(aRun.mTask);
+  return spec != nullptr && step != nullptr && spec->mGang &&
+         std::ranges::any_of(step->mTasks, [&](const task_entry& aTask) {
+           return aTask.mPhase != task_phase::kDone &&
+                  (aTask.mPhase != task_phase::kLive || aTask.mRun != aRun.mRun);
+         });
+}
+
 // Applies what the worker reports about a live run. Returns the reason why the run has to be
 // stopped, or an empty text.
 std::string_view work_core::state::ApplyListedRun(worker_entry& aWorker, const run_id& aId,
@@ -76,7 +89,11 @@
     aRun.mPhaseSince = aNow;
     aRun.mStartAnsweredAt = aNow;
     aRun.mLastProgressAt = aNow;
-    reason = current ? std::string_view() : "its task no longer needs the run";
+    if (!current) {
+      reason = "its task no longer needs the run";
+    } else if (LacksGangMembers(aId)) {
+      reason = "another member of its gang ended";
+    }
   }
   MeasureRate(aWorker, aRun, aListed.mPercent, aNow);
   if (aRun.mFirstPercent < 0) {
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -251,6 +251,7 @@
                    instant aNow);
   std::string_view ApplyListedRun(worker_entry& aWorker, const run_id& aId, run_entry& aRun,
                                   const listed_run& aListed, instant aNow);
+  bool LacksGangMembers(const run_id& aRun);
   void ApplyEnds(worker_entry& aWorker, const worker_report& aReport, instant aNow);
   void StopOrphans(worker_entry& aWorker, const worker_report& aReport);
   poll_plan MakePollPlan(worker_entry& aWorker, instant aNow) const;
