--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -1,6 +1,7 @@
 #include "work_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace briarwind {
 
@@ -132,11 +133,8 @@
   task->mFailedOn.insert(aWorker);
   // The failure of a gang counts once, whichever of its members report it, and whichever leader
   // reads the report.
-  if (!spec.mGang) {
-    ++task->mFailures;
-  } else if (std::exchange(step->mLastFailedRun, aRun.mRun) != aRun.mRun) {
-    ++task->mFailures;
-  }
+  const bool isCounted = spec.mGang && std::exchange(step->mLastFailedRun, aRun.mRun) == aRun.mRun;
+  task->mFailures += isCounted ? 0 : 1;
   const int failures = spec.mGang ? step->FailedGangRuns() : task->mFailures;
   const auto queue = mSettings.mQueues.find(job->mSpec.mQueue);
   const int attempts =
