--- a/testsuite/registry_odd_entries/run.py
+++ b/testsuite/registry_odd_entries/run.py
@@ -13,7 +13,6 @@
 import pathlib
 import sys
 import tempfile
-import types
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "platform" / "soak"))
@@ -76,8 +75,7 @@
 
 class Case:
     def __init__(self, program, folder):
-        options = types.SimpleNamespace(program=program, seed=30, seconds=1, rate=1, hosts=2,
-                                        workers=2)
+        options = soak.parse_options(["--program", program, "--hosts", "2", "--workers", "2"])
         self.soak = soak.Soak(options, folder)
 
     def put_odd_entries(self):
