--- a/testsuite/registry_odd_entries/run.py
+++ b/testsuite/registry_odd_entries/run.py
@@ -13,6 +13,7 @@
 import pathlib
 import sys
 import tempfile
+import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "platform" / "soak"))
@@ -148,7 +149,6 @@
 
 
 def read_metrics(port):
-    import urllib.request
     with urllib.request.urlopen(f"http://127.0.0.1:{port}/metrics", timeout=2) as answer:
         return answer.read().decode()
 
