--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -200,8 +200,8 @@
   ScheduleRound();
 }
 
-// A job without a revision, as the former version of the program sends it, might have been removed
-// since; the watch reports it again if it has not.
+// Without its revision, which the former version of the program does not send, a job cannot be told
+// from one that was removed. Such a notification adds no job; the watch reports the job as well.
 void work_driver::NotifyStored(const stored_value& aValue)
 {
   if (mHasTakenOver && aValue.mKey.starts_with(work_keys::kAccepted)) {
