Organisations have limits and weights in the step core

Cause: operators give organisations a limit on what they may have running and a weight; nothing in the step core knew either.

Ruled out: counting at the worker (no worker sees the others); planning with the tolerance of 10%.

Change: organisation_ledger counts runs from the decision to start them until their end is certain, claims, and runs that no record explains. Tasks beyond the limit are not placed; a gang is placed whole or not at all, and one that has waited 2 s holds back its organisation's other units. Urgent work at the limit stops work of its own organisation. queue_order shares by dominant resource and weight where policies are set, with jobs beyond the rate behind the others of their rank until their objective. The final record of a job keeps the runs that were being stopped, so that the next leader counts them. No decision is made before the operators' settings are known.

--- a/src/include/briarwind/operator_settings.h
+++ b/src/include/briarwind/operator_settings.h
@@ -28,6 +28,8 @@
   std::vector<caller_route> mRoutes;
   std::map<std::string, std::string, std::less<>> mOrganisationOfKey; ///< by API key
   std::map<std::string, int> mGuaranteedAccelerators;                 ///< by organisation
+  /// Organisations for which a weight or a limit is set.
+  std::map<std::string, organisation_policy> mOrganisations;
   /// By service; true: its workers refuse starts that exceed their capacity.
   std::map<std::string, bool> mServiceRefusesOverload;
   std::size_t mMaxBodyBytes = std::size_t{ 256 } << 10U; ///< of a submission
--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -107,6 +107,7 @@
   kWorkerRestored,    ///< a worker answered a poll, the first or after an unanswered one
   kWorkerLost,        ///< the leases of an unresponsive worker have expired
   kWorkerQuarantined, ///< a worker receives no new runs for a while
+  kWaitsForLimit,     ///< the limit of its organisation keeps tasks of a job from starting
 };
 
 /// Name of the event kind in logs and metrics.
@@ -171,6 +172,14 @@
   int mReachableWorkers = 0; ///< those of them that answered their last poll
 };
 
+/// What one organisation has in use, and its limit.
+struct organisation_use
+{
+  std::string mOrganisation;
+  task_demand mInUse;
+  task_demand mLimit; ///< 0: no limit on that resource
+};
+
 /// The scheduler of the leading host. Not thread safe.
 class work_core
 {
@@ -258,6 +267,8 @@
   /// except for cancellation.
   std::optional<work_state> StoredState(const std::string& aJob) const;
   work_counts Counts() const;
+  /// Of the organisations for which the operators have set a weight or a limit.
+  std::vector<organisation_use> OrganisationUse() const;
 
 private:
   struct state;
--- a/src/include/briarwind/work_model.h
+++ b/src/include/briarwind/work_model.h
@@ -110,12 +110,27 @@
   bool operator==(const work_job&) const = default;
 };
 
+/// Weight and limits of one organisation.
+struct organisation_policy
+{
+  /// Share of the workers when all are full, relative to other organisations; also the number of
+  /// jobs a second that are owed their objective.
+  double mWeight = 1;
+  /// What all its runs together may occupy, over all workers; 0: no limit on that resource.
+  task_demand mMaxInUse;
+
+  bool HasLimit() const { return mMaxInUse != task_demand{}; }
+  bool operator==(const organisation_policy&) const = default;
+};
+
 /// Settings that operators have put in force.
 struct work_settings
 {
   std::int64_t mVersion = 0;
   std::map<std::string, work_queue> mQueues;
   std::map<std::string, int> mGuaranteedAccelerators; ///< by organisation
+  /// Organisations for which the operators have set a weight or a limit.
+  std::map<std::string, organisation_policy> mOrganisations;
   /// By service: whether its workers refuse starts beyond their capacity.
   std::map<std::string, bool> mServiceRefusesOverload;
   std::vector<std::string> mWithdrawnDomains; ///< failure domains without new placements
--- a/src/libcontrol/caller_service.cpp
+++ b/src/libcontrol/caller_service.cpp
@@ -2,6 +2,11 @@
 
 #include "control_events.h"
 
+#include "libwork/organisation_ledger.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
 #include <array>
 
 namespace briarwind {
@@ -51,11 +56,28 @@
   aJob.mOrganisation = aCall.mOrganisation;
   aJob.mPolicy = aCall.mRoute.mPolicy;
   aJob.mAccepted = std::chrono::system_clock::now();
+  if (const int step = StepOverLimit(aJob); step >= 0) {
+    RecordRefusal(aJob.mId, "over the organisation's limit");
+    return { intake_outcome::kOverLimit,
+             fmt::format("steps.{}: needs more than the organisation's limit", step) };
+  }
   const intake_answer answer = mIntake.Accept(aJob, aDeadline);
   RecordCall("submit", aJob.mId, answer, begun);
   return answer;
 }
 
+int caller_service::StepOverLimit(const work_job& aJob) const
+{
+  const auto& policies = mSettings.Settings().mOrganisations;
+  const auto policy = policies.find(aJob.mOrganisation);
+  if (policy == policies.end()) {
+    return -1;
+  }
+  const auto over = std::ranges::find_if(
+    aJob.mSteps, [&](const work_step& aStep) { return !CanFitLimit(aStep, policy->second); });
+  return over == aJob.mSteps.end() ? -1 : static_cast<int>(over - aJob.mSteps.begin());
+}
+
 intake_answer caller_service::Cancel(const admitted_call& aCall, instant aDeadline)
 {
   const instant begun = monotonic_clock::now();
@@ -126,6 +148,7 @@
       return;
     case intake_outcome::kNotRun:
     case intake_outcome::kUnknownJob:
+    case intake_outcome::kOverLimit:
       RecordRefusal(aJob,
                     aAnswer.mOutcome == intake_outcome::kNotRun ? aAnswer.mReason : "unknown job");
       return;
--- a/src/libcontrol/caller_service.h
+++ b/src/libcontrol/caller_service.h
@@ -52,7 +52,8 @@
   /// Routes a request and checks its API key.
   std::variant<admitted_call, call_refusal> Admit(std::string_view aHost, std::string_view aPath,
                                                   std::string_view aKey) const;
-  /// Stores a job. Repeating the call with the same job id has no further effect.
+  /// Stores a job, unless one of its gangs or tasks needs more than its organisation's limit.
+  /// Repeating the call with the same job id has no further effect.
   /// @param aJob its id, queue, organisation and policy are filled in from aCall
   intake_answer Submit(const admitted_call& aCall, work_job aJob, instant aDeadline);
   /// Stores the cancellation of a job.
@@ -67,6 +68,8 @@
   void RecordRefusal(std::string_view aJob, std::string_view aReason);
 
 private:
+  /// Index of the first step that can never run below the organisation's limit, or -1.
+  int StepOverLimit(const work_job& aJob) const;
   state_answer StateFromLeader(const std::string& aJob, instant aDeadline);
   void RecordCall(std::string_view aCall, const std::string& aJob, const intake_answer& aAnswer,
                   instant aBegun);
--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -37,6 +37,7 @@
   kWorkRecordUnreadable,
   kWorkForgotten,
   kWorkNotRemoved,
+  kWorkWaitsForLimit,
   kJobAccepted,
   kJobRefused,
   kJobOutcomeUnclear,
@@ -60,7 +61,8 @@
   kWorkDecisionTime, kWorkWriteTime, kWorkWriteRetries, kWorkRemovalRetries,
   kStartOrders,      kStopOrders,    kWorkPolls,        kRegistryUnreadableEntries,
   kAdviceCalls,      kCoreDecisions, kCallerCalls,      kCallerRefusals,
-  kHttpRefusals,     kCallerTime,    kPeerCalls,
+  kHttpRefusals,     kCallerTime,    kPeerCalls,        kOrganisationUse,
+  kOrganisationLimit,
 };
 
 } // namespace
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -122,6 +122,11 @@
   "The records of a job that ended long ago could not be deleted, as `reason` says; the job stays "
   "known and the deletion is retried, also that of the jobs after it."
 };
+inline constexpr event_kind kWorkWaitsForLimit{
+  6120, log_level::kInfo, "work.waits-for-limit",
+  "Tasks of a job could start, but the limit of its organisation on the resource in `reason` is "
+  "used up; logged once for each wait."
+};
 inline constexpr event_kind kJobAccepted{
   6201, log_level::kInfo, "caller.accepted",
   "A job is stored and its submission is acknowledged to the caller."
@@ -233,6 +238,16 @@
 inline constexpr metric_kind kCoreDecisions{ metric_type::kCounter,
                                              "briarwind_node_decisions_total", "kind",
                                              "Decisions of the core by kind." };
+inline constexpr metric_kind kOrganisationUse{
+  metric_type::kGauge, "briarwind_node_organisation_use", "resource",
+  "What an organisation with a weight or a limit has in use, by organisation and resource, at the "
+  "leader."
+};
+inline constexpr metric_kind kOrganisationLimit{
+  metric_type::kGauge, "briarwind_node_organisation_limit", "resource",
+  "Limit on what an organisation may have in use, by organisation and resource, at the leader; 0 "
+  "for no limit."
+};
 inline constexpr metric_kind kCallerCalls{ metric_type::kCounter,
                                            "briarwind_node_caller_calls_total", "outcome",
                                            "Calls of callers by outcome." };
--- a/src/libcontrol/job_intake.h
+++ b/src/libcontrol/job_intake.h
@@ -13,6 +13,7 @@
   kNotRun,     ///< this call had no effect and will not have any
   kUnclear,    ///< may have been stored, or may still be stored after the call returned
   kUnknownJob, ///< the job does not exist
+  kOverLimit,  ///< not stored: the job can never run below its organisation's limit
 };
 
 struct intake_answer
--- a/src/libcontrol/operator_settings.cpp
+++ b/src/libcontrol/operator_settings.cpp
@@ -23,6 +23,7 @@
     settings.mQueues.emplace(each.mQueue, each.mPolicy);
   }
   settings.mGuaranteedAccelerators = mGuaranteedAccelerators;
+  settings.mOrganisations = mOrganisations;
   settings.mServiceRefusesOverload = mServiceRefusesOverload;
   settings.mWithdrawnDomains = aWithdrawnDomains;
   return settings;
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr milliseconds kRoundInterval{ 100 };
+constexpr milliseconds kUseReportInterval{ 1'000 };
+constexpr std::size_t kMaxReportedOrganisations = 64;
 // A healthy worker answers within a few milliseconds, over links with at most 3 ms one-way latency.
 // A start without an answer delays its gang, whose other members wait for a few seconds at most.
 constexpr milliseconds kOrderTimeout{ 350 };
@@ -254,9 +256,14 @@
 void work_driver::RoundLoop(int aTerm)
 {
   instant nextRemoval = monotonic_clock::now() + mRemovalInterval;
+  instant nextUseReport = monotonic_clock::now();
   while (IsCurrentTerm(aTerm)) {
     SleepFor(kRoundInterval);
     RunRound();
+    if (monotonic_clock::now() >= nextUseReport) {
+      nextUseReport = monotonic_clock::now() + kUseReportInterval;
+      ReportOrganisationUse();
+    }
     if (IsCurrentTerm(aTerm) && monotonic_clock::now() >= nextRemoval) {
       nextRemoval = monotonic_clock::now() + mRemovalInterval;
       StartRemoval();
@@ -264,6 +271,31 @@
   }
 }
 
+// Organisations beyond the number of gauges are summed up.
+void work_driver::ReportOrganisationUse()
+{
+  std::map<std::string, organisation_use> reported;
+  for (const organisation_use& each : mCore.OrganisationUse()) {
+    const bool full = reported.size() >= kMaxReportedOrganisations;
+    organisation_use& entry = reported[full ? "others" : each.mOrganisation];
+    entry.mInUse += each.mInUse;
+    entry.mLimit += each.mLimit;
+  }
+  const auto set = [&](const std::string& aName, std::string_view aResource, double aUse,
+                       double aLimit) {
+    const std::string label = fmt::format("{}/{}", aName, aResource);
+    mMetrics.Set(kOrganisationUse, aUse, label);
+    mMetrics.Set(kOrganisationLimit, aLimit, label);
+  };
+  for (const auto& [name, use] : reported) {
+    set(name, "accelerators", use.mInUse.mAccelerators, use.mLimit.mAccelerators);
+    set(name, "milli_cores", static_cast<double>(use.mInUse.mMilliCores),
+        static_cast<double>(use.mLimit.mMilliCores));
+    set(name, "memory_mb", static_cast<double>(use.mInUse.mMemoryMb),
+        static_cast<double>(use.mLimit.mMemoryMb));
+  }
+}
+
 // Coalesces events that arrive together into one round of decisions.
 void work_driver::ScheduleRound()
 {
@@ -281,7 +313,8 @@
   if (!mHasTakenOver) {
     return;
   }
-  if (!mPaused && mLeadership->MayIssueOrders()) {
+  // Without the operators' settings the limits of organisations are unknown.
+  if (!mPaused && mSettings.mVersion > 0 && mLeadership->MayIssueOrders()) {
     const instant begun = monotonic_clock::now();
     mCore.Decide(begun, WallNow());
     mMetrics.Observe(kWorkDecisionTime, monotonic_clock::now() - begun);
--- a/src/libcontrol/work_driver_test.cpp
+++ b/src/libcontrol/work_driver_test.cpp
@@ -130,6 +130,10 @@
                     },
                     [this](std::int64_t aEpoch) { mDriver.ContinueTerm(aEpoch); } })
   {
+    // The driver decides nothing before it has the operators' settings.
+    work_settings settings;
+    settings.mVersion = 1;
+    mDriver.SetSettings(settings);
   }
 
   void Accept(const std::string& aJob)
--- a/src/libcontrol/work_event_log.cpp
+++ b/src/libcontrol/work_event_log.cpp
@@ -29,6 +29,8 @@
       return kWorkWorkerLost;
     case work_event_kind::kWorkerQuarantined:
       return kWorkWorkerQuarantined;
+    case work_event_kind::kWaitsForLimit:
+      return kWorkWaitsForLimit;
   }
   return kWorkLost;
 }
--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -68,6 +68,7 @@
 void work_core::SetSettings(const work_settings& aSettings, instant aNow)
 {
   mState->mSettings = aSettings;
+  mState->mLedger.SetPolicies(aSettings.mOrganisations);
   mState->mReplan = true;
   mState->mReplanAt = aNow;
 }
@@ -125,6 +126,7 @@
     job.mSpec = aJob.mJob;
     job.mAcceptedRevision = aJob.mAcceptedRevision;
     job.mAddedAt = aNow;
+    mState->mAcceptances.Record(job.mSpec.mOrganisation, job.mSpec.mAccepted);
     mState->RestoreJob(job, aJob, aNow);
     mState->EmitEvent(work_event_kind::kJobKnown, job.mSpec.mId, {}, {}, job.mSpec.mQueue,
                       std::chrono::duration_cast<milliseconds>(aWallNow - job.mSpec.mAccepted));
@@ -487,6 +489,19 @@
   return unstored ? work_state::kRunning : job.mState;
 }
 
+std::vector<organisation_use> work_core::OrganisationUse() const
+{
+  std::vector<organisation_use> uses;
+  std::ranges::transform(mState->mLedger.Policies(), std::back_inserter(uses),
+                         [this](const auto& aPolicy) {
+                           const auto& [organisation, policy] = aPolicy;
+                           return organisation_use{ organisation,
+                                                    mState->mLedger.InUse(organisation),
+                                                    policy.mMaxInUse };
+                         });
+  return uses;
+}
+
 work_counts work_core::Counts() const
 {
   work_counts counts;
--- a/src/libwork/work_eviction.cpp
+++ b/src/libwork/work_eviction.cpp
@@ -284,13 +284,9 @@
 }
 
 // Preempts runs of lower priority, and reserves their capacity until the stopped runs have ended.
-bool work_core::state::PlaceByEviction(ready_unit& aUnit, instant aNow)
+bool work_core::state::PlaceByEviction(ready_unit& aUnit, const std::vector<int>& aTasks,
+                                       instant aNow)
 {
-  const std::vector<int> waiting = WaitingTasks(aUnit);
-  const work_step& spec = aUnit.Spec();
-  if (waiting.empty() || (spec.mGang && waiting.size() != aUnit.Entry().mTasks.size())) {
-    return false;
-  }
   std::vector<eviction_candidate> candidates;
   for (auto& [id, worker] : mWorkers) {
     if (!IsUsable(worker, aUnit, aNow)) {
@@ -308,7 +304,7 @@
     candidates.push_back(std::move(candidate));
   }
 
-  const eviction_plan best = eviction_search(candidates, aUnit, waiting).Run();
+  const eviction_plan best = eviction_search(candidates, aUnit, aTasks).Run();
   if (best.mLostWork > MaxLostWork(aUnit)) {
     return false;
   }
@@ -316,7 +312,7 @@
     task_entry& task = aUnit.Entry().mTasks[static_cast<std::size_t>(index)];
     task.mPhase = task_phase::kClaimed;
     task.mWorker = worker->mInfo.mId;
-    worker->mClaimed += CapacityDemand(spec);
+    AddClaim(*worker, *aUnit.mJob, aUnit.Spec());
     mReplan = true;
   }
   for (const auto& [worker, run] : best.mStops) {
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -111,6 +111,7 @@
   aJob.mReason = record.mReason;
   if (aJob.IsFinished()) {
     aJob.mFinishedAt = aNow;
+    RestoreStoppingRuns(aJob, record.mStopping, aNow);
     return;
   }
   aJob.mFinishedOccurrences.insert(record.mFinishedOccurrences.begin(),
@@ -150,6 +151,20 @@
   }
 }
 
+// A finished job has no tasks any more, so the next report of the worker leads to a stop order or
+// to the run's removal. Until then it counts against the organisation's limit.
+void work_core::state::RestoreStoppingRuns(job_entry& aJob,
+                                           const std::vector<progress_task>& aStopping,
+                                           instant aNow)
+{
+  for (const progress_task& each : aStopping) {
+    if (each.mTask.mStep >= 0 && each.mTask.mStep < static_cast<int>(aJob.mSpec.mSteps.size())) {
+      aJob.mStoppingRuns.emplace_back(run_id{ each.mTask, each.mRun }, each.mWorker);
+      RestoreRun(aJob, { each.mTask, each.mRun }, each.mWorker, aNow);
+    }
+  }
+}
+
 // The order of a restored run may not have been sent, may still be in flight, or may have taken
 // effect. Until the worker reports, the run occupies capacity there and its task is not started
 // elsewhere.
@@ -171,11 +186,25 @@
   run.mLastProgressAt = aNow;
   run.mStartedAt = aNow;
   run.mStallTime = StallTime(step, mOptions);
-  worker.mUsed += run.mDemand;
-  worker.mRuns.emplace(aRun, run);
+  AddRun(worker, aRun, std::move(run), aJob);
   worker.mReachable = false;
 }
 
+// Only organisations with a limit need the record.
+void work_core::state::RecordStoppingRuns(job_entry& aJob)
+{
+  if (!mLedger.HasLimit(aJob.mSpec.mOrganisation)) {
+    return;
+  }
+  for (const auto& [id, worker] : mWorkers) {
+    const auto first = worker.mRuns.lower_bound(run_id{ { aJob.mSpec.mId, 0, 0, 0 }, 0 });
+    for (auto each = first;
+         each != worker.mRuns.end() && each->first.mTask.mJob == aJob.mSpec.mId; ++each) {
+      aJob.mStoppingRuns.emplace_back(each->first, id);
+    }
+  }
+}
+
 void work_core::state::FinishJob(job_entry& aJob, work_state aState, const std::string& aReason,
                                  instant aNow)
 {
@@ -184,6 +213,7 @@
   }
   ReleaseClaims(aJob);
   StopJobRuns(aJob, ToString(aState), aNow);
+  RecordStoppingRuns(aJob);
   aJob.mState = aState;
   aJob.mReason = aReason;
   aJob.mFinishedAt = aNow;
--- a/src/libwork/work_names.cpp
+++ b/src/libwork/work_names.cpp
@@ -65,7 +65,7 @@
 
 std::string_view ToString(work_event_kind aKind)
 {
-  static constexpr std::array<std::string_view, 11> kNames{
+  static constexpr std::array<std::string_view, 12> kNames{
     "job-known",
     "started",
     "start-failed",
@@ -77,6 +77,7 @@
     "worker-restored",
     "worker-lost",
     "worker-quarantined",
+    "waits-for-limit",
   };
   return NameAt(kNames, aKind);
 }
--- a/src/libwork/work_record.cpp
+++ b/src/libwork/work_record.cpp
@@ -56,6 +56,13 @@
   return { aOccurrence, aStep, aEntry.mLastFailedRun };
 }
 
+// Laid out like the row of a task.
+json::array StoppingRow(const run_id& aRun, const std::string& aWorker)
+{
+  return { aRun.mTask.mOccurrence, aRun.mTask.mStep, aRun.mTask.mIndex, aRun.mRun, 0,
+           json::string(aWorker) };
+}
+
 std::int64_t IntAt(const json::array& aRow, std::size_t aIndex)
 {
   const json::value* value = aRow.if_contains(aIndex);
@@ -127,6 +134,13 @@
   if (!failures.empty()) {
     record["failed"] = std::move(failures);
   }
+  if (!aJob.mStoppingRuns.empty()) {
+    json::array stopping;
+    for (const auto& [run, worker] : aJob.mStoppingRuns) {
+      stopping.emplace_back(StoppingRow(run, worker));
+    }
+    record["stopping"] = std::move(stopping);
+  }
   if (!aJob.mReason.empty()) {
     record["reason"] = aJob.mReason;
   }
@@ -157,6 +171,11 @@
       record.mTasks.push_back(ReadTask(each.get_array(), aJob));
     }
   }
+  for (const json::value& each : ArrayField(object, "stopping")) {
+    if (each.is_array()) {
+      record.mStopping.push_back(ReadTask(each.get_array(), aJob));
+    }
+  }
   for (const json::value& each : ArrayField(object, "failed")) {
     if (each.is_array()) {
       record.mFailures.push_back(ReadFailure(each.get_array()));
--- a/src/libwork/work_record.h
+++ b/src/libwork/work_record.h
@@ -5,8 +5,8 @@
 namespace briarwind {
 
 /// JSON of a job's progress record: state, tasks that are done, live runs with their workers, run
-/// numbers, failures and checkpoints of waiting tasks that were started before, and the last failed
-/// run of each gang.
+/// numbers, failures and checkpoints of waiting tasks that were started before, the last failed run
+/// of each gang, and the runs of a finished job that were being stopped.
 std::string FormatProgress(const job_entry& aJob, std::int64_t aEpoch);
 
 /// Row of a task that was started at least once and is not done.
@@ -45,6 +45,8 @@
   std::vector<progress_done> mDone;
   std::vector<progress_task> mTasks;
   std::vector<progress_failure> mFailures; ///< empty in records of former versions
+  /// Of a finished job: runs that were being stopped; empty in records of former versions.
+  std::vector<progress_task> mStopping;
 };
 
 /// Fails when the text is no JSON object; fields that are missing or malformed read as empty.
--- a/src/libwork/work_reports.cpp
+++ b/src/libwork/work_reports.cpp
@@ -49,6 +49,7 @@
   aWorker.mAckDue = false;
   aWorker.mReachable = false;
   aWorker.mOrphans.clear();
+  ReleaseOrphanUse(aWorker);
   for (auto& [id, run] : aWorker.mRuns) {
     if (run.mPhase == run_phase::kRunning) {
       run.mPhase = run_phase::kRestored;
@@ -143,6 +144,7 @@
       mActions.emplace_back(stop_run{ each.mRun, aWorker.mInfo.mId });
     }
   }
+  SetOrphanUse(aWorker);
 }
 
 void work_core::state::ApplyReport(worker_entry& aWorker, const worker_report& aReport,
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -25,6 +25,7 @@
   const auto found = aWorker.mRuns.find(aRun);
   if (found != aWorker.mRuns.end()) {
     aWorker.mUsed -= found->second.mDemand;
+    mLedger.RemoveRun(found->second.mOrganisation, found->second.mLimitedDemand);
     aWorker.mRuns.erase(found);
     mReplan = true;
   }
@@ -67,7 +68,10 @@
   const std::string worker = aWorker.mInfo.mId;
   const auto age = std::chrono::duration_cast<milliseconds>(aNow - aWorker.mLastReportAt);
   RemoveRun(aWorker, aRun);
-  EmitEvent(work_event_kind::kLost, aRun.mTask.mJob, ToString(aRun.mTask), worker, aReason, age);
+  const job_entry* job = FindJob(aRun.mTask.mJob);
+  if (job == nullptr || !job->IsFinished()) {
+    EmitEvent(work_event_kind::kLost, aRun.mTask.mJob, ToString(aRun.mTask), worker, aReason, age);
+  }
   const task_entry* task = FindTask(aRun.mTask);
   if (task != nullptr && task->mPhase == task_phase::kLive && task->mRun == aRun.mRun &&
       task->mWorker == worker) {
@@ -253,7 +257,9 @@
         unit.mStep = static_cast<int>(step);
         const auto queue = mSettings.mQueues.find(aJob.mSpec.mQueue);
         unit.mQueue = queue == mSettings.mQueues.end() ? &aJob.mSpec.mPolicy : &queue->second;
-        if (!IsUsable(worker->second, unit, aNow)) {
+        // The limit may have been lowered while the record was being stored.
+        if (!IsUsable(worker->second, unit, aNow) ||
+            mLedger.IsOverLimit(aJob.mSpec.mOrganisation)) {
           unusable.emplace_back(task.mWorker, id);
           continue;
         }
@@ -271,7 +277,8 @@
   }
   for (const auto& [worker, run] : unusable) {
     StopOtherGangMembers(run, aNow);
-    StopRun(mWorkers[worker], run, "the worker became unusable before the start order was sent",
+    StopRun(mWorkers[worker], run,
+            "the worker became unusable, or a limit was lowered, before the start order was sent",
             aNow);
   }
 }
@@ -325,13 +332,18 @@
       ClearFailures(worker);
     }
   }
-  std::erase_if(mWorkers, [](const auto& aWorker) {
-    const worker_entry& worker = aWorker.second;
+  const auto isUnused = [](const worker_entry& aWorker) {
     // Stored ends are acknowledged before the worker is removed, as long as it answers.
-    const bool ackPending = worker.mAckDue && worker.mReachable;
-    return !worker.mListed && worker.mRuns.empty() && worker.mPendingEnds.empty() && !ackPending &&
-           worker.mClaimed == task_demand{};
-  });
+    const bool ackPending = aWorker.mAckDue && aWorker.mReachable;
+    return !aWorker.mListed && aWorker.mRuns.empty() && aWorker.mPendingEnds.empty() &&
+           !ackPending && aWorker.mClaimed == task_demand{};
+  };
+  for (auto& [id, worker] : mWorkers) {
+    if (isUnused(worker)) {
+      ReleaseOrphanUse(worker);
+    }
+  }
+  std::erase_if(mWorkers, [&](const auto& aWorker) { return isUnused(aWorker.second); });
 }
 
 } // namespace briarwind
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -18,6 +18,9 @@
 constexpr int kOverdueFactor = 3;
 // A worker that completed a run within this time is unlikely to fail all its runs.
 constexpr milliseconds kRecentSuccess{ 3'000 };
+// A gang that has waited this long for its organisation's limit holds back the organisation's other
+// units of its rank and below. Shorter waits are common while runs end one after the other.
+constexpr milliseconds kGangLimitWait{ 2'000 };
 
 const work_queue& QueueOf(const work_settings& aSettings, const job_entry& aJob)
 {
@@ -120,6 +123,7 @@
           unit.mMayProbe = mayProbe;
           unit.mPreferSuccessSince = HasFailed(entry) ? aNow - kRecentSuccess : instant();
           unit.mObjective = job.mAddedAt + objective;
+          unit.mBeyondRate = IsBeyondRate(job, unit.mObjective, aNow);
           unit.mRank = queue.mPriority == 0
                          ? kRankUrgent
                          : kRankOther + queue.mPriority + (overdue ? kRankOverdueOffset : 0);
@@ -190,23 +194,61 @@
   for (ready_unit& unit : units) {
     ConvertClaims(unit, aNow);
   }
-  for (ready_unit& unit : units) {
-    const bool mayStopOthers = unit.mQueue->mPriority == 0 || unit.Spec().mLongRunning;
-    if (!PlaceUnit(unit, aNow) && mayStopOthers) {
-      PlaceByEviction(unit, aNow);
+  const auto order = MakeUnitOrder(units, mLedger, TotalCapacity());
+  // Organisations of which a gang has waited long for their limit, with the gang's rank: others of
+  // their units would keep using what the gang needs.
+  std::map<std::string, int> held;
+  while (ready_unit* unit = order->Next()) {
+    const std::string& organisation = unit->mJob->mSpec.mOrganisation;
+    const auto hold = held.find(organisation);
+    if (hold != held.end() && unit->mRank >= hold->second) {
+      continue;
+    }
+    PlaceOrEvict(*unit, aNow);
+    if (unit->mJob->mWaitsForLimit && unit->Spec().mGang &&
+        aNow - unit->Entry().mReadySince > kGangLimitWait) {
+      held.emplace(organisation, unit->mRank);
     }
   }
 }
 
-bool work_core::state::PlaceUnit(ready_unit& aUnit, instant aNow)
+void work_core::state::PlaceOrEvict(ready_unit& aUnit, instant aNow)
 {
   const std::vector<int> waiting = WaitingTasks(aUnit);
-  if (waiting.empty()) {
-    return true;
+  const bool endsPending =
+    aUnit.Spec().mGang && waiting.size() != aUnit.Entry().mTasks.size();
+  if (waiting.empty() || endsPending) { // of a gang, members of the last run have not ended yet
+    return;
   }
-  if (aUnit.Spec().mGang && waiting.size() != aUnit.Entry().mTasks.size()) {
-    return true; // members of the last run have not ended yet
+  const bool urgent = aUnit.mQueue->mPriority == 0;
+  const std::vector<int> allowed = TasksWithinLimit(aUnit);
+  RecordLimitWait(aUnit, allowed.size() < waiting.size());
+  if (allowed.size() < waiting.size() && urgent) {
+    StopOwnWorkForLimit(aUnit, aNow);
+  }
+  if (allowed.empty()) {
+    return;
+  }
+  const bool mayStopOthers = urgent || aUnit.Spec().mLongRunning;
+  if (!PlaceUnit(aUnit, allowed, aNow) && mayStopOthers) {
+    const std::vector<int> unplaced = TasksWithinLimit(aUnit);
+    if (!unplaced.empty()) {
+      PlaceByEviction(aUnit, unplaced, aNow);
+    }
   }
+}
+
+task_demand work_core::state::TotalCapacity() const
+{
+  task_demand total;
+  for (const auto& [id, worker] : mWorkers) {
+    total += worker.mListed ? worker.mInfo.mCapacity : task_demand{};
+  }
+  return total;
+}
+
+bool work_core::state::PlaceUnit(ready_unit& aUnit, const std::vector<int>& aTasks, instant aNow)
+{
   RequestAdvice(aUnit, aNow);
   std::vector<worker_entry*> usable;
   for (auto& [id, worker] : mWorkers) {
@@ -219,9 +261,9 @@
   const milliseconds localityWait =
     busy ? std::max(mOptions.mLocalityWait, aUnit.Spec().mEstimate) : mOptions.mLocalityWait;
   const bool ignoreLocality = waited >= localityWait;
-  const placement_result placed = FindPlaces(aUnit, waiting, usable, ignoreLocality);
+  const placement_result placed = FindPlaces(aUnit, aTasks, usable, ignoreLocality);
   AddRuns(aUnit, placed.mPlaces, aNow);
-  return placed.mPlaces.size() == waiting.size();
+  return placed.mPlaces.size() == aTasks.size();
 }
 
 void work_core::state::AddRuns(const ready_unit& aUnit,
@@ -251,8 +293,7 @@
     run.mPhaseSince = aNow;
     run.mStartedAt = aNow;
     run.mStallTime = StallTime(spec, mOptions);
-    worker->mUsed += run.mDemand;
-    worker->mRuns.emplace(run_id{ aUnit.Task(index), task.mRun }, run);
+    AddRun(*worker, { aUnit.Task(index), task.mRun }, std::move(run), *aUnit.mJob);
   }
 }
 
@@ -285,7 +326,8 @@
   if (claimed == 0) {
     return;
   }
-  if (unusable) {
+  // A limit that was lowered after the claim is kept, too.
+  if (unusable || mLedger.IsOverLimit(aUnit.mJob->mSpec.mOrganisation)) {
     ReleaseClaims(*aUnit.mJob);
     return;
   }
@@ -293,7 +335,7 @@
     return;
   }
   for (const auto& [index, worker] : ready) {
-    worker->mClaimed -= CapacityDemand(spec);
+    RemoveClaim(*worker, *aUnit.mJob, spec);
   }
   AddRuns(aUnit, ready, aNow);
 }
@@ -307,7 +349,7 @@
           continue;
         }
         if (const auto worker = mWorkers.find(task.mWorker); worker != mWorkers.end()) {
-          worker->second.mClaimed -= CapacityDemand(aJob.mSpec.mSteps[i]);
+          RemoveClaim(worker->second, aJob, aJob.mSpec.mSteps[i]);
         }
         task.mPhase = task_phase::kWaiting;
         task.mWorker.clear();
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "organisation_ledger.h"
+#include "queue_order.h"
+
 #include "briarwind/work_core.h"
 
 #include <fmt/format.h>
@@ -95,6 +98,10 @@
   instant mFinishedAt;
   std::string mReason;                      ///< why the job failed or was cancelled
   std::set<std::string> mPenalisedWorkers;  ///< workers quarantined for failures of the job
+  /// Runs that were being stopped when the job ended, with their workers. Stored, so that the next
+  /// leader counts them against the organisation's limit.
+  std::vector<std::pair<run_id, std::string>> mStoppingRuns;
+  bool mWaitsForLimit = false; ///< its organisation's limit held tasks back in the last pass
   std::list<occurrence_entry> mOccurrences; ///< those that are due and not finished
   int mNextOccurrence = 0;                  ///< the first that is not due yet
   std::set<int> mFinishedOccurrences;
@@ -124,6 +131,8 @@
 {
   run_phase mPhase = run_phase::kRecording;
   task_demand mDemand; ///< what the run takes of the worker's capacity
+  std::string mOrganisation;
+  task_demand mLimitedDemand; ///< what the run takes of its organisation's limit
   bool mGang = false;
   std::int64_t mRecordedIn = 0; ///< the change of the job's record that contains the run
   instant mPhaseSince;
@@ -171,6 +180,9 @@
   std::string mPenalisedForJob; ///< job of the failure that last led to a quarantine
   instant mStalledSince;        ///< when a stalled run was detected; instant(): none
 
+  /// What orphans take of their organisations' limits.
+  std::vector<std::pair<std::string, task_demand>> mOrphanUse;
+
   task_demand Free() const { return mInfo.mCapacity - mUsed - mClaimed; }
 };
 
@@ -187,12 +199,16 @@
   instant mPreferSuccessSince;
   instant mObjective; ///< when the job should be finished
   int mRank = 0;      ///< lower ranks are placed first
+  /// The job was accepted beyond its organisation's rate and comes behind others of its rank.
+  bool mBeyondRate = false;
 
   const work_step& Spec() const;
   step_entry& Entry() const;
   task_id Task(int aIndex) const;
 };
 
+struct progress_task;
+
 struct work_core::state
 {
   explicit state(const work_options& aOptions)
@@ -212,10 +228,15 @@
   std::vector<work_action> mActions;
   bool mReplan = false; ///< something changed that may allow a task to be placed
   instant mReplanAt;    ///< placement is retried by this time even without a change
+  organisation_ledger mLedger;
+  acceptance_rate mAcceptances;
 
   // work_jobs.cpp
   void RestoreJob(job_entry& aJob, const stored_job& aStored, instant aNow);
   void RestoreRun(job_entry& aJob, const run_id& aRun, const std::string& aWorker, instant aNow);
+  void RestoreStoppingRuns(job_entry& aJob, const std::vector<progress_task>& aStopping,
+                           instant aNow);
+  void RecordStoppingRuns(job_entry& aJob);
   void OpenOccurrences(job_entry& aJob, wall_time aWallNow);
   void MarkChanged(job_entry& aJob);
   void FinishJob(job_entry& aJob, work_state aState, const std::string& aReason, instant aNow);
@@ -271,8 +292,24 @@
   void UpdateDeparture(worker_entry& aWorker, instant aNow);
   bool IsExpectedToEndBy(const run_id& aRun, const run_entry& aEntry, instant aBy);
 
+  // work_limits.cpp
+  void AddRun(worker_entry& aWorker, const run_id& aId, run_entry aRun, const job_entry& aJob);
+  void AddClaim(worker_entry& aWorker, const job_entry& aJob, const work_step& aStep);
+  void RemoveClaim(worker_entry& aWorker, const job_entry& aJob, const work_step& aStep);
+  void SetOrphanUse(worker_entry& aWorker);
+  void ReleaseOrphanUse(worker_entry& aWorker);
+  /// The waiting tasks that the organisation's limit lets start now; of a gang all or none.
+  std::vector<int> TasksWithinLimit(const ready_unit& aUnit) const;
+  void RecordLimitWait(ready_unit& aUnit, bool aWaits);
+  /// Stops work of the unit's own organisation that is worth less, so that the unit fits below the
+  /// organisation's limit.
+  void StopOwnWorkForLimit(const ready_unit& aUnit, instant aNow);
+  bool IsBeyondRate(const job_entry& aJob, instant aObjective, instant aNow) const;
+
   // work_schedule.cpp
   void PlaceAll(instant aNow);
+  void PlaceOrEvict(ready_unit& aUnit, instant aNow);
+  task_demand TotalCapacity() const;
   std::vector<ready_unit> ReadyUnits(instant aNow);
   void MarkGuaranteed(std::vector<ready_unit>& aUnits);
   /// Whether the unit's queue needs no advice, or the advisor approved the worker for the step.
@@ -281,7 +318,8 @@
   /// Whether the worker may run the unit's step, the advisor's approval aside.
   bool IsEligible(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
   bool IsUsable(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
-  bool PlaceUnit(ready_unit& aUnit, instant aNow);
+  /// Returns whether all the given tasks, or none of a gang that cannot be placed yet, are placed.
+  bool PlaceUnit(ready_unit& aUnit, const std::vector<int>& aTasks, instant aNow);
   void AddRuns(const ready_unit& aUnit, const std::vector<std::pair<int, worker_entry*>>& aPlaces,
                instant aNow);
   void ConvertClaims(ready_unit& aUnit, instant aNow);
@@ -289,7 +327,7 @@
   double LostWork(const run_id& aRun, const run_entry& aEntry, instant aNow);
   double MaxLostWork(const ready_unit& aUnit) const;
   bool MayEvict(const ready_unit& aUnit, const run_id& aRun, const run_entry& aEntry);
-  bool PlaceByEviction(ready_unit& aUnit, instant aNow);
+  bool PlaceByEviction(ready_unit& aUnit, const std::vector<int>& aTasks, instant aNow);
 };
 
 } // namespace briarwind
