Order, fit and eviction under heavy load, each with a switch

Change: run_time_estimates learns run times by queue and shape; late work comes behind work in time within a rank, guaranteed claims aside; best fit over all resources; claims wait for runs whose measured pace ends them within a stop time; evictions prefer work that is late and work not stopped before. Each part is an option of briarwind-node, so that runs with and without it can be compared.

Result: libwork's tests pass.

--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -16,9 +17,33 @@
 
 namespace briarwind {
 
+/// Parts of the scheduler that can be switched off, to compare runs with and without them.
+struct work_parts
+{
+  bool mLearnedTimes = true; ///< expect run times as learned rather than as declared
+  bool mLateLast = true;     ///< work that cannot meet its objective comes behind work that can
+  bool mShapeFit = true;     ///< best fit over all resources rather than accelerators first
+  bool mAwaitEnds = true;    ///< wait for runs that end soon rather than stop others
+  bool mSpareInTime = true;  ///< prefer to preempt work that is late already
+
+  bool operator==(const work_parts&) const = default;
+};
+
+/// One of the parts, as an option of the process.
+struct work_part_switch
+{
+  std::string_view mFlag;
+  bool work_parts::* mPart;
+  std::string_view mHelp;
+};
+std::span<const work_part_switch> WorkPartSwitches();
+
 /// Limits that the deployment sets, and tuning parameters of the scheduler.
 struct work_options
 {
+  work_parts mParts;
+  /// Longest time that a worker takes to stop a run; set by the deployment.
+  milliseconds mStopTime{ 200 };
   /// Longest lease that workers grant; set by the deployment.
   milliseconds mMaxLease{ 10'000 };
   /// Time that a task needs to resume from a checkpoint; set by the deployment.
--- a/src/libwork/organisation_ledger.cpp
+++ b/src/libwork/organisation_ledger.cpp
@@ -35,10 +35,8 @@
 task_demand LeftOf(const task_demand& aLimit, const task_demand& aUsed)
 {
   return { aLimit.mAccelerators == 0 ? kUnlimited : aLimit.mAccelerators - aUsed.mAccelerators,
-           aLimit.mMilliCores == 0 ? kUnlimitedAmount
-                                   : aLimit.mMilliCores - aUsed.mMilliCores,
-           aLimit.mMemoryMb == 0 ? kUnlimitedAmount
-                                 : aLimit.mMemoryMb - aUsed.mMemoryMb };
+           aLimit.mMilliCores == 0 ? kUnlimitedAmount : aLimit.mMilliCores - aUsed.mMilliCores,
+           aLimit.mMemoryMb == 0 ? kUnlimitedAmount : aLimit.mMemoryMb - aUsed.mMemoryMb };
 }
 
 } // namespace
@@ -69,7 +67,7 @@
   return found == mPolicies.end() ? 1 : found->second.mWeight;
 }
 
-void organisation_ledger::Change(const std::string& aOrganisation, task_demand account::*aPart,
+void organisation_ledger::Change(const std::string& aOrganisation, task_demand account::* aPart,
                                  const task_demand& aChange)
 {
   const auto [place, isNew] = mAccounts.try_emplace(aOrganisation);
--- a/src/libwork/organisation_ledger.h
+++ b/src/libwork/organisation_ledger.h
@@ -51,7 +51,7 @@
 
 private:
   account AccountOf(const std::string& aOrganisation) const;
-  void Change(const std::string& aOrganisation, task_demand account::*aPart,
+  void Change(const std::string& aOrganisation, task_demand account::* aPart,
               const task_demand& aChange);
 
   std::map<std::string, organisation_policy> mPolicies;
--- a/src/libwork/queue_order.cpp
+++ b/src/libwork/queue_order.cpp
@@ -33,8 +33,8 @@
 
 // Dominant-resource fairness: inside a group of equal rank, the organisation with the smallest
 // share in relation to its weight is next, with its most urgent unit. Jobs beyond the rate of their
-// organisation form a group of their own behind the others of their rank. See Ghodsi et al.,
-// "Dominant Resource Fairness", NSDI 2011.
+// organisation, and those that are late, form groups behind the others of their rank. See Ghodsi et
+// al., "Dominant Resource Fairness", NSDI 2011.
 class fair_share_order : public unit_order
 {
 public:
@@ -44,7 +44,8 @@
     , mTotal(aTotal)
   {
     for (ready_unit& each : aUnits) {
-      mGroups[{ each.mRank, each.mBeyondRate }][each.mJob->mSpec.mOrganisation].push_back(&each);
+      mGroups[{ each.mRank, each.mBeyondRate, each.mIsLate }][each.mJob->mSpec.mOrganisation]
+        .push_back(&each);
     }
   }
 
@@ -72,7 +73,7 @@
 private:
   const organisation_ledger& mLedger;
   task_demand mTotal;
-  std::map<std::pair<int, bool>, std::map<std::string, std::deque<ready_unit*>>> mGroups;
+  std::map<std::tuple<int, bool, bool>, std::map<std::string, std::deque<ready_unit*>>> mGroups;
 };
 
 } // namespace
--- a/src/libwork/work_departure.cpp
+++ b/src/libwork/work_departure.cpp
@@ -11,19 +11,35 @@
 // reports are a poll apart.
 constexpr int kMinProgressPercent = 5;
 
+// End of the run at its speed so far; nullopt while it has not made enough progress.
+std::optional<instant> MeasuredEnd(const run_entry& aEntry)
+{
+  const int gained = aEntry.mPercent - aEntry.mFirstPercent;
+  if (aEntry.mFirstPercent < 0 || gained < kMinProgressPercent) {
+    return std::nullopt;
+  }
+  const auto elapsed = aEntry.mLastProgressAt - aEntry.mFirstReportedAt;
+  return aEntry.mLastProgressAt + elapsed * (kCompletePercent - aEntry.mPercent) / gained;
+}
+
 } // namespace
 
-// Estimated from the run's speed so far, or from its declared run time while it has not made enough
+// Estimated from the run's speed so far, or from its expected run time while it has not made enough
 // progress.
 bool work_core::state::IsExpectedToEndBy(const run_id& aRun, const run_entry& aEntry, instant aBy)
 {
-  const int gained = aEntry.mPercent - aEntry.mFirstPercent;
-  if (aEntry.mFirstPercent >= 0 && gained >= kMinProgressPercent) {
-    const auto elapsed = aEntry.mLastProgressAt - aEntry.mFirstReportedAt;
-    return aEntry.mLastProgressAt + elapsed * (kCompletePercent - aEntry.mPercent) / gained <= aBy;
+  if (const auto end = MeasuredEnd(aEntry)) {
+    return *end <= aBy;
   }
+  const job_entry* job = FindJob(aRun.mTask.mJob);
   const work_step* step = FindSpec(aRun.mTask);
-  return step != nullptr && aEntry.mStartedAt + step->mEstimate <= aBy;
+  return step != nullptr && aEntry.mStartedAt + ExpectedRunTime(job->mSpec, *step) <= aBy;
+}
+
+bool work_core::state::EndsSoon(const run_entry& aEntry, instant aBy) const
+{
+  const auto end = MeasuredEnd(aEntry);
+  return aEntry.mPhase == run_phase::kRunning && end && *end <= aBy;
 }
 
 // A worker that leaves cuts off the runs it still has, and afterwards answers no polls: their tasks
--- a/src/libwork/work_eviction.cpp
+++ b/src/libwork/work_eviction.cpp
@@ -13,6 +13,11 @@
 // Weight of an accelerator, in cores, when lost work is compared.
 constexpr double kCoresPerAccelerator = 8;
 constexpr double kMilliCoresPerCore = 1000;
+// What lost work of a job that is late counts, compared with that of a job in time: late results
+// are worth a tenth to a third of those in time.
+constexpr double kLateWorkShare = 0.25;
+// Each earlier eviction of a job makes the next one more expensive by this share.
+constexpr double kRepeatedEvictionCost = 0.5;
 
 // Number of gangs tried as a starting point of a plan, cheapest first. Each needs one more planning
 // pass over all workers.
@@ -25,6 +30,7 @@
   const run_entry* mEntry = nullptr;
   double mLostWork = 0;              ///< in core-seconds; 0 when the run is being stopped already
   const step_entry* mGang = nullptr; ///< gang that stops as a whole; nullptr for single tasks
+  bool mNeedsStop = true;            ///< false: it is being stopped, or ends by itself soon
 };
 
 // Capacity that a plan can use on one worker.
@@ -99,7 +105,7 @@
   for (const std::size_t index : aOffer.mChosen) {
     const victim& chosen = aCandidate.mVictims[index];
     aCandidate.mFree += chosen.mEntry->mDemand;
-    if (chosen.mEntry->mPhase != run_phase::kStopping) {
+    if (chosen.mNeedsStop) {
       aPlan.mStops.emplace_back(aCandidate.mWorker, *chosen.mRun);
     }
     if (chosen.mGang != nullptr) {
@@ -270,6 +276,19 @@
          (spec.mCheckpoints ? restart.count() : ran.count());
 }
 
+// Work that is late already is worth less to its caller than work that would become late, and work
+// that was stopped before has lost more than its present run.
+double work_core::state::EvictionCost(const run_id& aRun, const run_entry& aEntry, instant aNow)
+{
+  const job_entry* job = FindJob(aRun.mTask.mJob);
+  const double lost = LostWork(aRun, aEntry, aNow);
+  if (job == nullptr || !mOptions.mParts.mSpareInTime) {
+    return lost;
+  }
+  const double late = aNow > ObjectiveOf(*job) ? kLateWorkShare : 1;
+  return lost * late * (1 + kRepeatedEvictionCost * job->mEvictions);
+}
+
 // Returns the most core-seconds that may be lost for the unit. There is no limit for guaranteed and
 // long-running units.
 double work_core::state::MaxLostWork(const ready_unit& aUnit) const
@@ -294,12 +313,16 @@
     }
     eviction_candidate candidate{ &worker, worker.Free(), {}, StepLimit(worker, aUnit) };
     for (const auto& [run, entry] : worker.mRuns) {
-      if (!MayEvict(aUnit, run, entry)) {
+      // Stopping another run would not free capacity sooner.
+      const bool endsByItself =
+        entry.mPhase == run_phase::kStopping ||
+        (mOptions.mParts.mAwaitEnds && EndsSoon(entry, aNow + mOptions.mStopTime));
+      if (!endsByItself && !MayEvict(aUnit, run, entry)) {
         continue;
       }
-      const bool stopping = entry.mPhase == run_phase::kStopping;
-      candidate.mVictims.push_back({ &run, &entry, stopping ? 0 : LostWork(run, entry, aNow),
-                                     entry.mGang && !stopping ? FindStep(run.mTask) : nullptr });
+      candidate.mVictims.push_back(
+        { &run, &entry, endsByItself ? 0 : EvictionCost(run, entry, aNow),
+          entry.mGang && !endsByItself ? FindStep(run.mTask) : nullptr, !endsByItself });
     }
     candidates.push_back(std::move(candidate));
   }
@@ -308,6 +331,9 @@
   if (best.mLostWork > MaxLostWork(aUnit)) {
     return false;
   }
+  if (!best.mPlaces.empty()) {
+    aUnit.Entry().mClaimedAt = aNow;
+  }
   for (const auto& [index, worker] : best.mPlaces) {
     task_entry& task = aUnit.Entry().mTasks[static_cast<std::size_t>(index)];
     task.mPhase = task_phase::kClaimed;
@@ -316,6 +342,9 @@
     mReplan = true;
   }
   for (const auto& [worker, run] : best.mStops) {
+    if (job_entry* job = FindJob(run.mTask.mJob)) {
+      ++job->mEvictions;
+    }
     EmitEvent(work_event_kind::kEvicted, run.mTask.mJob, ToString(run.mTask), worker->mInfo.mId,
               fmt::format("preempted by job {}", aUnit.mJob->mSpec.mId));
     StopOtherGangMembers(run, aNow);
--- a/src/libwork/work_limits.cpp
+++ b/src/libwork/work_limits.cpp
@@ -143,8 +143,7 @@
   }
   for (const stoppable_work* each : chosen) {
     for (const auto& [worker, run] : each->mRuns) {
-      EmitEvent(work_event_kind::kEvicted, run.mTask.mJob, ToString(run.mTask),
-                worker->mInfo.mId,
+      EmitEvent(work_event_kind::kEvicted, run.mTask.mJob, ToString(run.mTask), worker->mInfo.mId,
                 fmt::format("job {} needs room below the limit of its organisation",
                             aUnit.mJob->mSpec.mId));
       StopOtherGangMembers(run, aNow);
--- a/src/libwork/work_names.cpp
+++ b/src/libwork/work_names.cpp
@@ -82,6 +82,23 @@
   return NameAt(kNames, aKind);
 }
 
+std::span<const work_part_switch> WorkPartSwitches()
+{
+  static constexpr std::array kSwitches{
+    work_part_switch{ "learned-times", &work_parts::mLearnedTimes,
+                      "expect run times as learned rather than as declared" },
+    work_part_switch{ "late-last", &work_parts::mLateLast,
+                      "place work that cannot meet its objective behind work that can" },
+    work_part_switch{ "shape-fit", &work_parts::mShapeFit,
+                      "best fit over all resources rather than accelerators first" },
+    work_part_switch{ "await-ends", &work_parts::mAwaitEnds,
+                      "wait for runs that end soon rather than stop others" },
+    work_part_switch{ "spare-in-time", &work_parts::mSpareInTime,
+                      "prefer to preempt work that is late already" },
+  };
+  return kSwitches;
+}
+
 std::string ToString(const task_id& aTask)
 {
   return fmt::format("{}.{}.{}.{}", aTask.mJob, aTask.mOccurrence, aTask.mStep, aTask.mIndex);
--- a/src/libwork/work_placement.cpp
+++ b/src/libwork/work_placement.cpp
@@ -20,6 +20,18 @@
                   StepLimit(aWorker, aUnit));
 }
 
+// Sum of the free shares of all resources. Counting accelerators first would put small tasks onto
+// workers whose memory or cores a large task needs.
+double FreeShare(const task_demand& aFree, const task_demand& aCapacity)
+{
+  const auto share = [](std::int64_t aPart, std::int64_t aWhole) {
+    return static_cast<double>(aPart) / static_cast<double>(std::max<std::int64_t>(aWhole, 1));
+  };
+  return share(aFree.mAccelerators, aCapacity.mAccelerators) +
+         share(aFree.mMilliCores, aCapacity.mMilliCores) +
+         share(aFree.mMemoryMb, aCapacity.mMemoryMb);
+}
+
 // Best fit: the fullest workers that still have capacity for a task come first, so that entire
 // workers stay free for tasks that need them. Workers without recent failures come before all
 // others.
@@ -35,8 +47,10 @@
   std::ranges::sort(available, [&](const available_worker& aLeft, const available_worker& aRight) {
     const auto key = [&](const available_worker& aAvailable) {
       const task_demand free = aAvailable.mWorker->Free();
+      const double emptiness =
+        aUnit.mFitsShape ? FreeShare(free, aAvailable.mWorker->mInfo.mCapacity) : 0;
       return std::tuple(aAvailable.mWorker->mFailuresInRow,
-                        aAvailable.mWorker->mLastSuccessAt < aUnit.mPreferSuccessSince,
+                        aAvailable.mWorker->mLastSuccessAt < aUnit.mPreferSuccessSince, emptiness,
                         free.mAccelerators, free.mMilliCores,
                         std::string_view(aAvailable.mWorker->mInfo.mId));
     };
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -35,10 +35,14 @@
                                     const std::string& aCheckpoint, instant aNow)
 {
   const std::string worker = aWorker.mInfo.mId;
-  RemoveRun(aWorker, aRun);
   const task_entry* task = FindTask(aRun.mTask);
   const bool current = task != nullptr && task->mPhase == task_phase::kLive &&
                        task->mRun == aRun.mRun && task->mWorker == worker;
+  const auto run = aWorker.mRuns.find(aRun);
+  if (aHow == run_end::kDone && current && run != aWorker.mRuns.end()) {
+    LearnRunTime(aWorker, aRun, run->second, aNow);
+  }
+  RemoveRun(aWorker, aRun);
   EmitEvent(work_event_kind::kEnded, aRun.mTask.mJob, ToString(aRun.mTask), worker,
             current ? ToString(aHow) : "superseded");
   if (aHow == run_end::kDone) {
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -18,6 +18,8 @@
 constexpr int kOverdueFactor = 3;
 // A worker that completed a run within this time is unlikely to fail all its runs.
 constexpr milliseconds kRecentSuccess{ 3'000 };
+// A claim lasts this much longer than a worker takes to stop a run: a poll and the order's way.
+constexpr milliseconds kClaimMargin{ 1'000 };
 // A gang that has waited this long for its organisation's limit holds back the organisation's other
 // units of its rank and below. Shorter waits are common while runs end one after the other.
 constexpr milliseconds kGangLimitWait{ 2'000 };
@@ -28,22 +30,6 @@
   return found == aSettings.mQueues.end() ? aJob.mSpec.mPolicy : found->second;
 }
 
-// Declared run time of the longest chain of dependent steps.
-milliseconds CriticalPath(const work_job& aJob)
-{
-  std::vector<milliseconds> until;
-  for (const work_step& step : aJob.mSteps) {
-    milliseconds before{ 0 };
-    for (const int each : step.mAfter) {
-      if (each >= 0 && each < static_cast<int>(until.size())) {
-        before = std::max(before, until[static_cast<std::size_t>(each)]);
-      }
-    }
-    until.push_back(before + step.mEstimate);
-  }
-  return until.empty() ? milliseconds{ 0 } : std::ranges::max(until);
-}
-
 bool ArePredecessorsDone(const occurrence_entry& aOccurrence, const work_step& aStep)
 {
   return std::ranges::all_of(aStep.mAfter, [&](int aBefore) {
@@ -91,6 +77,53 @@
   return { mJob->mSpec.mId, mOccurrence->mNumber, mStep, aIndex };
 }
 
+milliseconds work_core::state::ExpectedRunTime(const work_job& aJob, const work_step& aStep) const
+{
+  const auto learned =
+    mOptions.mParts.mLearnedTimes ? mRunTimes.Find(KindOf(aJob, aStep)) : std::nullopt;
+  return learned.value_or(aStep.mEstimate);
+}
+
+// Time of the longest chain of dependent steps.
+milliseconds work_core::state::CriticalPath(const work_job& aJob) const
+{
+  std::vector<milliseconds> until;
+  for (const work_step& step : aJob.mSteps) {
+    milliseconds before{ 0 };
+    for (const int each : step.mAfter) {
+      if (each >= 0 && each < static_cast<int>(until.size())) {
+        before = std::max(before, until[static_cast<std::size_t>(each)]);
+      }
+    }
+    until.push_back(before + ExpectedRunTime(aJob, step));
+  }
+  return until.empty() ? milliseconds{ 0 } : std::ranges::max(until);
+}
+
+instant work_core::state::ObjectiveOf(const job_entry& aJob) const
+{
+  const work_queue& queue = QueueOf(mSettings, aJob);
+  return aJob.mAddedAt +
+         std::chrono::duration_cast<milliseconds>(queue.mSlack * CriticalPath(aJob.mSpec)) +
+         queue.mTarget;
+}
+
+// A run away from its data takes several times as long, which says nothing about other runs.
+void work_core::state::LearnRunTime(const worker_entry& aWorker, const run_id& aId,
+                                    const run_entry& aRun, instant aNow)
+{
+  const job_entry* job = FindJob(aId.mTask.mJob);
+  const work_step* step = FindSpec(aId.mTask);
+  if (job == nullptr || step == nullptr || !aRun.mFromStart || step->mLongRunning) {
+    return;
+  }
+  const bool isRemote = !step->mDataRack.empty() && step->mDataRack != aWorker.mInfo.mRack;
+  if (!isRemote) {
+    mRunTimes.Add(KindOf(job->mSpec, *step),
+                  std::chrono::duration_cast<milliseconds>(aNow - aRun.mStartedAt));
+  }
+}
+
 std::vector<ready_unit> work_core::state::ReadyUnits(instant aNow)
 {
   std::vector<ready_unit> units;
@@ -99,9 +132,7 @@
       continue;
     }
     const work_queue& queue = QueueOf(mSettings, job);
-    const auto criticalPath = CriticalPath(job.mSpec);
-    const auto objective =
-      std::chrono::duration_cast<milliseconds>(queue.mSlack * criticalPath) + queue.mTarget;
+    const instant objective = ObjectiveOf(job);
     for (occurrence_entry& occurrence : job.mOccurrences) {
       for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
         step_entry& entry = occurrence.mSteps[step];
@@ -112,7 +143,7 @@
           entry.mReadySince = aNow;
         }
         if (HasTasksToPlace(entry)) {
-          const bool overdue = aNow > job.mAddedAt + kOverdueFactor * objective;
+          const bool overdue = aNow > job.mAddedAt + kOverdueFactor * (objective - job.mAddedAt);
           const bool mayProbe =
             !job.mSpec.mSteps[step].mGang || aNow - entry.mReadySince >= mOptions.mGangProbeDelay;
           ready_unit unit;
@@ -122,7 +153,10 @@
           unit.mQueue = &queue;
           unit.mMayProbe = mayProbe;
           unit.mPreferSuccessSince = HasFailed(entry) ? aNow - kRecentSuccess : instant();
-          unit.mObjective = job.mAddedAt + objective;
+          unit.mObjective = objective;
+          unit.mFitsShape = mOptions.mParts.mShapeFit;
+          const milliseconds expected = ExpectedRunTime(job.mSpec, job.mSpec.mSteps[step]);
+          unit.mIsLate = mOptions.mParts.mLateLast && aNow + expected > unit.mObjective;
           unit.mBeyondRate = IsBeyondRate(job, unit.mObjective, aNow);
           unit.mRank = queue.mPriority == 0
                          ? kRankUrgent
@@ -134,8 +168,11 @@
   }
   MarkGuaranteed(units);
   std::ranges::sort(units, [](const ready_unit& aLeft, const ready_unit& aRight) {
-    return std::tuple(aLeft.mRank, aLeft.mObjective, aLeft.mJob->mSpec.mId, aLeft.mStep) <
-           std::tuple(aRight.mRank, aRight.mObjective, aRight.mJob->mSpec.mId, aRight.mStep);
+    const auto key = [](const ready_unit& aUnit) {
+      return std::tuple(aUnit.mRank, aUnit.mIsLate, aUnit.mObjective,
+                        std::string_view(aUnit.mJob->mSpec.mId), aUnit.mStep);
+    };
+    return key(aLeft) < key(aRight);
   });
   return units;
 }
@@ -165,6 +202,7 @@
   for (ready_unit& unit : aUnits) {
     if (guaranteed.contains(unit.mJob)) {
       unit.mGuaranteed = true;
+      unit.mIsLate = false;
       unit.mRank = kRankGuaranteed;
     }
   }
@@ -215,8 +253,7 @@
 void work_core::state::PlaceOrEvict(ready_unit& aUnit, instant aNow)
 {
   const std::vector<int> waiting = WaitingTasks(aUnit);
-  const bool endsPending =
-    aUnit.Spec().mGang && waiting.size() != aUnit.Entry().mTasks.size();
+  const bool endsPending = aUnit.Spec().mGang && waiting.size() != aUnit.Entry().mTasks.size();
   if (waiting.empty() || endsPending) { // of a gang, members of the last run have not ended yet
     return;
   }
@@ -292,6 +329,7 @@
     run.mRecordedIn = aUnit.mJob->mChange;
     run.mPhaseSince = aNow;
     run.mStartedAt = aNow;
+    run.mFromStart = !spec.mCheckpoints || task.mCheckpoint.empty();
     run.mStallTime = StallTime(spec, mOptions);
     AddRun(*worker, { aUnit.Task(index), task.mRun }, std::move(run), *aUnit.mJob);
   }
@@ -331,6 +369,13 @@
     ReleaseClaims(*aUnit.mJob);
     return;
   }
+  // Some claims wait for runs that were expected to end by now; others may be better by now.
+  const bool expired = mOptions.mParts.mAwaitEnds && ready.size() != claimed &&
+                       aNow - step.mClaimedAt > mOptions.mStopTime + kClaimMargin;
+  if (expired) {
+    ReleaseClaims(*aUnit.mJob);
+    return;
+  }
   if (spec.mGang && ready.size() != claimed) {
     return;
   }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -2,6 +2,7 @@
 
 #include "organisation_ledger.h"
 #include "queue_order.h"
+#include "run_time_estimates.h"
 
 #include "briarwind/work_core.h"
 
@@ -70,6 +71,7 @@
   int mDone = 0;                 ///< tasks that are done
   run_number mLastFailedRun = 0; ///< gang only: the run that was last counted as failed
   instant mReadySince;           ///< since when the step is ready or has a task queued again
+  instant mClaimedAt;            ///< when its claims were made
   bool mReady = false;           ///< all steps that it depends on are done
   std::map<std::string, advised_worker> mAdvice; ///< by worker
   bool mAdvicePending = false;                   ///< a request to the advisor is in flight
@@ -96,11 +98,12 @@
   bool mCancelled = false;
   instant mAddedAt;
   instant mFinishedAt;
-  std::string mReason;                      ///< why the job failed or was cancelled
-  std::set<std::string> mPenalisedWorkers;  ///< workers quarantined for failures of the job
+  std::string mReason;                     ///< why the job failed or was cancelled
+  std::set<std::string> mPenalisedWorkers; ///< workers quarantined for failures of the job
   /// Runs that were being stopped when the job ended, with their workers. Stored, so that the next
   /// leader counts them against the organisation's limit.
   std::vector<std::pair<run_id, std::string>> mStoppingRuns;
+  int mEvictions = 0;          ///< how often runs of the job were stopped for other jobs
   bool mWaitsForLimit = false; ///< its organisation's limit held tasks back in the last pass
   std::list<occurrence_entry> mOccurrences; ///< those that are due and not finished
   int mNextOccurrence = 0;                  ///< the first that is not due yet
@@ -134,6 +137,7 @@
   std::string mOrganisation;
   task_demand mLimitedDemand; ///< what the run takes of its organisation's limit
   bool mGang = false;
+  bool mFromStart = false;      ///< resumes from no checkpoint, and was started by this leader
   std::int64_t mRecordedIn = 0; ///< the change of the job's record that contains the run
   instant mPhaseSince;
   instant mStartAnsweredAt; ///< valid in kRunning
@@ -195,12 +199,15 @@
   const work_queue* mQueue = nullptr;
   bool mGuaranteed = false; ///< priority 0 within its organisation's guarantee
   bool mMayProbe = false;   ///< may be placed on a worker whose last run failed
+  bool mFitsShape = false;  ///< best fit over all resources
   /// Workers with a successful run since this time are preferred; instant() unless a task failed.
   instant mPreferSuccessSince;
   instant mObjective; ///< when the job should be finished
   int mRank = 0;      ///< lower ranks are placed first
   /// The job was accepted beyond its organisation's rate and comes behind others of its rank.
   bool mBeyondRate = false;
+  /// Cannot meet its objective any more, so it comes behind others of its rank that can.
+  bool mIsLate = false;
 
   const work_step& Spec() const;
   step_entry& Entry() const;
@@ -230,6 +237,7 @@
   instant mReplanAt;    ///< placement is retried by this time even without a change
   organisation_ledger mLedger;
   acceptance_rate mAcceptances;
+  run_time_estimates mRunTimes;
 
   // work_jobs.cpp
   void RestoreJob(job_entry& aJob, const stored_job& aStored, instant aNow);
@@ -291,6 +299,8 @@
   // work_departure.cpp
   void UpdateDeparture(worker_entry& aWorker, instant aNow);
   bool IsExpectedToEndBy(const run_id& aRun, const run_entry& aEntry, instant aBy);
+  /// Whether the run's measured progress shows that it ends by then.
+  bool EndsSoon(const run_entry& aEntry, instant aBy) const;
 
   // work_limits.cpp
   void AddRun(worker_entry& aWorker, const run_id& aId, run_entry aRun, const job_entry& aJob);
@@ -311,6 +321,13 @@
   void PlaceOrEvict(ready_unit& aUnit, instant aNow);
   task_demand TotalCapacity() const;
   std::vector<ready_unit> ReadyUnits(instant aNow);
+  /// How long a run of the step takes: as learned, or as declared while too few have completed.
+  milliseconds ExpectedRunTime(const work_job& aJob, const work_step& aStep) const;
+  milliseconds CriticalPath(const work_job& aJob) const;
+  /// When the job should be finished.
+  instant ObjectiveOf(const job_entry& aJob) const;
+  void LearnRunTime(const worker_entry& aWorker, const run_id& aId, const run_entry& aRun,
+                    instant aNow);
   void MarkGuaranteed(std::vector<ready_unit>& aUnits);
   /// Whether the unit's queue needs no advice, or the advisor approved the worker for the step.
   bool IsApproved(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
@@ -325,6 +342,7 @@
   void ConvertClaims(ready_unit& aUnit, instant aNow);
   void ReleaseClaims(job_entry& aJob);
   double LostWork(const run_id& aRun, const run_entry& aEntry, instant aNow);
+  double EvictionCost(const run_id& aRun, const run_entry& aEntry, instant aNow);
   double MaxLostWork(const ready_unit& aUnit) const;
   bool MayEvict(const ready_unit& aUnit, const run_id& aRun, const run_entry& aEntry);
   bool PlaceByEviction(ready_unit& aUnit, const std::vector<int>& aTasks, instant aNow);
