Racks are held for gangs that wait; claims no longer wait for runs that end soon

And waiting for runs whose pace ends them within a stop time, instead of stopping others, made things worse: reports are 0.8 s old, and a claim that waited in vain was too late.

Change: gang_reservations holds the rack that is closest to having room for a gang that has waited a second, at most one rack in eight, for one pass at a time; units of a better rank may pass.

--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -23,8 +23,8 @@
   bool mLearnedTimes = true; ///< expect run times as learned rather than as declared
   bool mLateLast = true;     ///< work that cannot meet its objective comes behind work that can
   bool mShapeFit = true;     ///< best fit over all resources rather than accelerators first
-  bool mAwaitEnds = true;    ///< wait for runs that end soon rather than stop others
   bool mSpareInTime = true;  ///< prefer to preempt work that is late already
+  bool mReservations = true; ///< hold racks for gangs that wait
 
   bool operator==(const work_parts&) const = default;
 };
@@ -42,8 +42,6 @@
 struct work_options
 {
   work_parts mParts;
-  /// Longest time that a worker takes to stop a run; set by the deployment.
-  milliseconds mStopTime{ 200 };
   /// Longest lease that workers grant; set by the deployment.
   milliseconds mMaxLease{ 10'000 };
   /// Time that a task needs to resume from a checkpoint; set by the deployment.
--- a/src/libwork/work_departure.cpp
+++ b/src/libwork/work_departure.cpp
@@ -36,12 +36,6 @@
   return step != nullptr && aEntry.mStartedAt + ExpectedRunTime(job->mSpec, *step) <= aBy;
 }
 
-bool work_core::state::EndsSoon(const run_entry& aEntry, instant aBy) const
-{
-  const auto end = MeasuredEnd(aEntry);
-  return aEntry.mPhase == run_phase::kRunning && end && *end <= aBy;
-}
-
 // A worker that leaves cuts off the runs it still has, and afterwards answers no polls: their tasks
 // could be started elsewhere only after the leases have expired. Runs that will not end in time are
 // therefore stopped while the worker can still report their end, which also saves a checkpoint.
--- a/src/libwork/work_eviction.cpp
+++ b/src/libwork/work_eviction.cpp
@@ -30,7 +30,6 @@
   const run_entry* mEntry = nullptr;
   double mLostWork = 0;              ///< in core-seconds; 0 when the run is being stopped already
   const step_entry* mGang = nullptr; ///< gang that stops as a whole; nullptr for single tasks
-  bool mNeedsStop = true;            ///< false: it is being stopped, or ends by itself soon
 };
 
 // Capacity that a plan can use on one worker.
@@ -105,7 +104,7 @@
   for (const std::size_t index : aOffer.mChosen) {
     const victim& chosen = aCandidate.mVictims[index];
     aCandidate.mFree += chosen.mEntry->mDemand;
-    if (chosen.mNeedsStop) {
+    if (chosen.mEntry->mPhase != run_phase::kStopping) {
       aPlan.mStops.emplace_back(aCandidate.mWorker, *chosen.mRun);
     }
     if (chosen.mGang != nullptr) {
@@ -313,16 +312,12 @@
     }
     eviction_candidate candidate{ &worker, worker.Free(), {}, StepLimit(worker, aUnit) };
     for (const auto& [run, entry] : worker.mRuns) {
-      // Stopping another run would not free capacity sooner.
-      const bool endsByItself =
-        entry.mPhase == run_phase::kStopping ||
-        (mOptions.mParts.mAwaitEnds && EndsSoon(entry, aNow + mOptions.mStopTime));
-      if (!endsByItself && !MayEvict(aUnit, run, entry)) {
+      if (!MayEvict(aUnit, run, entry)) {
         continue;
       }
-      candidate.mVictims.push_back(
-        { &run, &entry, endsByItself ? 0 : EvictionCost(run, entry, aNow),
-          entry.mGang && !endsByItself ? FindStep(run.mTask) : nullptr, !endsByItself });
+      const bool stopping = entry.mPhase == run_phase::kStopping;
+      candidate.mVictims.push_back({ &run, &entry, stopping ? 0 : EvictionCost(run, entry, aNow),
+                                     entry.mGang && !stopping ? FindStep(run.mTask) : nullptr });
     }
     candidates.push_back(std::move(candidate));
   }
@@ -331,9 +326,6 @@
   if (best.mLostWork > MaxLostWork(aUnit)) {
     return false;
   }
-  if (!best.mPlaces.empty()) {
-    aUnit.Entry().mClaimedAt = aNow;
-  }
   for (const auto& [index, worker] : best.mPlaces) {
     task_entry& task = aUnit.Entry().mTasks[static_cast<std::size_t>(index)];
     task.mPhase = task_phase::kClaimed;
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -198,8 +198,8 @@
   }
   for (const auto& [id, worker] : mWorkers) {
     const auto first = worker.mRuns.lower_bound(run_id{ { aJob.mSpec.mId, 0, 0, 0 }, 0 });
-    for (auto each = first;
-         each != worker.mRuns.end() && each->first.mTask.mJob == aJob.mSpec.mId; ++each) {
+    for (auto each = first; each != worker.mRuns.end() && each->first.mTask.mJob == aJob.mSpec.mId;
+         ++each) {
       aJob.mStoppingRuns.emplace_back(each->first, id);
     }
   }
--- a/src/libwork/work_names.cpp
+++ b/src/libwork/work_names.cpp
@@ -91,10 +91,10 @@
                       "place work that cannot meet its objective behind work that can" },
     work_part_switch{ "shape-fit", &work_parts::mShapeFit,
                       "best fit over all resources rather than accelerators first" },
-    work_part_switch{ "await-ends", &work_parts::mAwaitEnds,
-                      "wait for runs that end soon rather than stop others" },
     work_part_switch{ "spare-in-time", &work_parts::mSpareInTime,
                       "prefer to preempt work that is late already" },
+    work_part_switch{ "reservations", &work_parts::mReservations,
+                      "hold racks for gangs that wait" },
   };
   return kSwitches;
 }
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -1,3 +1,4 @@
+#include "gang_reservations.h"
 #include "work_placement.h"
 #include "work_table.h"
 
@@ -18,8 +19,6 @@
 constexpr int kOverdueFactor = 3;
 // A worker that completed a run within this time is unlikely to fail all its runs.
 constexpr milliseconds kRecentSuccess{ 3'000 };
-// A claim lasts this much longer than a worker takes to stop a run: a poll and the order's way.
-constexpr milliseconds kClaimMargin{ 1'000 };
 // A gang that has waited this long for its organisation's limit holds back the organisation's other
 // units of its rank and below. Shorter waits are common while runs end one after the other.
 constexpr milliseconds kGangLimitWait{ 2'000 };
@@ -233,6 +232,7 @@
     ConvertClaims(unit, aNow);
   }
   const auto order = MakeUnitOrder(units, mLedger, TotalCapacity());
+  gang_reservations reservations;
   // Organisations of which a gang has waited long for their limit, with the gang's rank: others of
   // their units would keep using what the gang needs.
   std::map<std::string, int> held;
@@ -242,7 +242,7 @@
     if (hold != held.end() && unit->mRank >= hold->second) {
       continue;
     }
-    PlaceOrEvict(*unit, aNow);
+    PlaceOrEvict(*unit, reservations, aNow);
     if (unit->mJob->mWaitsForLimit && unit->Spec().mGang &&
         aNow - unit->Entry().mReadySince > kGangLimitWait) {
       held.emplace(organisation, unit->mRank);
@@ -250,7 +250,8 @@
   }
 }
 
-void work_core::state::PlaceOrEvict(ready_unit& aUnit, instant aNow)
+void work_core::state::PlaceOrEvict(ready_unit& aUnit, gang_reservations& aReservations,
+                                    instant aNow)
 {
   const std::vector<int> waiting = WaitingTasks(aUnit);
   const bool endsPending = aUnit.Spec().mGang && waiting.size() != aUnit.Entry().mTasks.size();
@@ -267,11 +268,16 @@
     return;
   }
   const bool mayStopOthers = urgent || aUnit.Spec().mLongRunning;
-  if (!PlaceUnit(aUnit, allowed, aNow) && mayStopOthers) {
+  if (PlaceUnit(aUnit, allowed, aReservations, aNow)) {
+    return;
+  }
+  if (mayStopOthers) {
     const std::vector<int> unplaced = TasksWithinLimit(aUnit);
     if (!unplaced.empty()) {
       PlaceByEviction(aUnit, unplaced, aNow);
     }
+  } else if (mOptions.mParts.mReservations && NeedsReservation(aUnit, aNow)) {
+    aReservations.Hold(aUnit, UsableWorkers(aUnit, aNow));
   }
 }
 
@@ -284,15 +290,24 @@
   return total;
 }
 
-bool work_core::state::PlaceUnit(ready_unit& aUnit, const std::vector<int>& aTasks, instant aNow)
+std::vector<worker_entry*> work_core::state::UsableWorkers(const ready_unit& aUnit, instant aNow)
 {
-  RequestAdvice(aUnit, aNow);
   std::vector<worker_entry*> usable;
   for (auto& [id, worker] : mWorkers) {
     if (IsUsable(worker, aUnit, aNow)) {
       usable.push_back(&worker);
     }
   }
+  return usable;
+}
+
+bool work_core::state::PlaceUnit(ready_unit& aUnit, const std::vector<int>& aTasks,
+                                 const gang_reservations& aReservations, instant aNow)
+{
+  RequestAdvice(aUnit, aNow);
+  std::vector<worker_entry*> usable = UsableWorkers(aUnit, aNow);
+  std::erase_if(
+    usable, [&](const worker_entry* aWorker) { return !aReservations.MayUse(aUnit, *aWorker); });
   const bool busy = IsBusy(usable);
   const auto waited = aNow - aUnit.Entry().mReadySince;
   const milliseconds localityWait =
@@ -369,13 +384,6 @@
     ReleaseClaims(*aUnit.mJob);
     return;
   }
-  // Some claims wait for runs that were expected to end by now; others may be better by now.
-  const bool expired = mOptions.mParts.mAwaitEnds && ready.size() != claimed &&
-                       aNow - step.mClaimedAt > mOptions.mStopTime + kClaimMargin;
-  if (expired) {
-    ReleaseClaims(*aUnit.mJob);
-    return;
-  }
   if (spec.mGang && ready.size() != claimed) {
     return;
   }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -71,7 +71,6 @@
   int mDone = 0;                 ///< tasks that are done
   run_number mLastFailedRun = 0; ///< gang only: the run that was last counted as failed
   instant mReadySince;           ///< since when the step is ready or has a task queued again
-  instant mClaimedAt;            ///< when its claims were made
   bool mReady = false;           ///< all steps that it depends on are done
   std::map<std::string, advised_worker> mAdvice; ///< by worker
   bool mAdvicePending = false;                   ///< a request to the advisor is in flight
@@ -215,6 +214,7 @@
 };
 
 struct progress_task;
+class gang_reservations;
 
 struct work_core::state
 {
@@ -299,8 +299,6 @@
   // work_departure.cpp
   void UpdateDeparture(worker_entry& aWorker, instant aNow);
   bool IsExpectedToEndBy(const run_id& aRun, const run_entry& aEntry, instant aBy);
-  /// Whether the run's measured progress shows that it ends by then.
-  bool EndsSoon(const run_entry& aEntry, instant aBy) const;
 
   // work_limits.cpp
   void AddRun(worker_entry& aWorker, const run_id& aId, run_entry aRun, const job_entry& aJob);
@@ -318,7 +316,8 @@
 
   // work_schedule.cpp
   void PlaceAll(instant aNow);
-  void PlaceOrEvict(ready_unit& aUnit, instant aNow);
+  void PlaceOrEvict(ready_unit& aUnit, gang_reservations& aReservations, instant aNow);
+  std::vector<worker_entry*> UsableWorkers(const ready_unit& aUnit, instant aNow);
   task_demand TotalCapacity() const;
   std::vector<ready_unit> ReadyUnits(instant aNow);
   /// How long a run of the step takes: as learned, or as declared while too few have completed.
@@ -336,7 +335,8 @@
   bool IsEligible(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
   bool IsUsable(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
   /// Returns whether all the given tasks, or none of a gang that cannot be placed yet, are placed.
-  bool PlaceUnit(ready_unit& aUnit, const std::vector<int>& aTasks, instant aNow);
+  bool PlaceUnit(ready_unit& aUnit, const std::vector<int>& aTasks,
+                 const gang_reservations& aReservations, instant aNow);
   void AddRuns(const ready_unit& aUnit, const std::vector<std::pair<int, worker_entry*>>& aPlaces,
                instant aNow);
   void ConvertClaims(ready_unit& aUnit, instant aNow);
