HTTP sessions bound framing, share a byte budget, and make room

Cause: the read buffer of a connection grew without a bound while a chunk header or the trailers were incomplete, and nothing bounded what all connections hold together. At the limit of connections every new one was closed, also when the others had never sent a complete request.

Ruled out: http::async_read with a bounded buffer, which gives no place to count a body while it grows; a limit for each peer address, which the load balancer's one address would meet; refusing every new body while the budget is spent, since stalled clients would keep it for the whole body timeout.

Change: the session drives Beast's parser itself. Its buffer is limited to the header limit plus one read; chunk headers and trailers together may take 16 bytes for each byte of the body plus one header (431). A body is closed after 10 s without a byte (408). byte_budget (pure) counts requests that are not answered and responses that are not written, for all servers that share it: an announced body is admitted at its header or refused with 503 and Retry-After; a growing body closes the incomplete request with the largest product of bytes and age. A request that is handled is never closed. At the limit of connections the one with the oldest incomplete request (5 s) or idle for longest (16 s) is closed for the new one. Servers without a budget keep their limits. Refusal reasons for these cases, with the client's address.

--- a/src/include/briarwind/http_server.h
+++ b/src/include/briarwind/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "briarwind/byte_budget.h"
 #include "briarwind/endpoint.h"
 #include "briarwind/fiber_runtime.h"
 #include "briarwind/http.h"
@@ -8,6 +9,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace briarwind {
 
@@ -19,8 +21,15 @@
   std::size_t mConnections = 4096;                     ///< further connections are closed at once
   milliseconds mHeaderTimeout{ 10'000 }; ///< from the first byte to the end of the header; then 408
   milliseconds mBodyTimeout{ 30'000 };   ///< from the header to the end of the body; then 408
-  milliseconds mIdleTimeout{ 60'000 };   ///< wait for the next request; closed without a response
-  milliseconds mWriteTimeout{ 30'000 };  ///< for writing a response or one chunk of it
+  /// From one read of a body to the next; then 408. An ordinary client does not pause for so long.
+  milliseconds mStallTimeout{ 10'000 };
+  milliseconds mIdleTimeout{ 60'000 };  ///< wait for the next request; closed without a response
+  milliseconds mWriteTimeout{ 30'000 }; ///< for writing a response or one chunk of it
+  /// When set, returns the limit to use in place of mBodyBytes; for a limit that changes.
+  std::function<std::size_t()> mCurrentBodyBytes;
+  /// Bytes that are read and not answered, or not written yet; may be shared by several servers.
+  /// Without a budget only the limits of each connection apply.
+  std::shared_ptr<byte_budget> mBudget;
 };
 
 /// Returns the response to a request. Runs in the fiber of the connection and may suspend it.
@@ -34,7 +43,12 @@
   kHeaderTooLarge,
   kTimeout,
   kMalformed,
-  kHandlerFailed, ///< the handler threw an exception; the connection is closed without a response
+  kHandlerFailed,   ///< the handler threw an exception; the connection is closed without a response
+  kFramingTooLarge, ///< chunk extensions or trailers are over the limit of a header; 431
+  kOverBudget,      ///< the byte budget has no room for an announced body; 503, has not run
+  kCutOffOverBudget, ///< closed to free bytes of the budget; a request cut off has not run
+  kWriteTimeout,     ///< the client does not read the response
+  kDisplaced,        ///< closed without a complete request, in favour of a new connection
 };
 
 std::string_view ToString(http_server_refusal aRefusal);
@@ -61,6 +75,9 @@
   /// Sets the function to call for each rejected connection or request.
   void OnRefusal(std::function<void(http_server_refusal)> aObserver);
 
+  /// Sets a further function to call with the address of the client.
+  void OnRefusedPeer(std::function<void(http_server_refusal, const std::string&)> aObserver);
+
   /// Stops accepting connections. Responses on open connections carry `Connection: close`.
   void StopAccepting();
   /// Stops accepting, closes idle connections and waits until all connections are closed. Returns
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <system_error>
 #include <utility>
 #include <vector>
@@ -21,6 +22,10 @@
 
 constexpr milliseconds kDrainPollInterval{ 5 };
 constexpr milliseconds kAcceptRetryDelay{ 50 };
+// A connection may be closed for a new one if its request is incomplete for this long, which an
+// ordinary request takes a small part of, or if it is idle for longer than clients keep it (15 s).
+constexpr milliseconds kDisplaceReadingAfter{ 5'000 };
+constexpr milliseconds kDisplaceIdleAfter{ 16'000 };
 
 tcp::acceptor OpenAcceptor(asio::io_context& aContext, const endpoint& aListen)
 {
@@ -38,9 +43,18 @@
 
 std::string_view ToString(http_server_refusal aRefusal)
 {
-  static constexpr std::array<std::string_view, 6> kNames{
-    "too-many-connections", "body-too-large", "header-too-large", "timeout", "malformed",
+  static constexpr std::array<std::string_view, 11> kNames{
+    "too-many-connections",
+    "body-too-large",
+    "header-too-large",
+    "timeout",
+    "malformed",
     "handler-failed",
+    "framing-too-large",
+    "over-budget",
+    "cut-off-over-budget",
+    "write-timeout",
+    "displaced",
   };
   return kNames.at(static_cast<std::size_t>(aRefusal));
 }
@@ -56,7 +70,13 @@
     const tcp::endpoint local = mAcceptor.local_endpoint();
     mLocal = { local.address().to_string(), local.port() };
     mShared.mHandler = std::move(aHandler);
-    mShared.mLimits = aLimits;
+    mShared.mLimits = std::move(aLimits);
+    mShared.mBudget = mShared.mLimits.mBudget;
+    if (!mShared.mBudget) {
+      byte_budget::limits unlimited;
+      unlimited.mTotal = std::numeric_limits<std::size_t>::max();
+      mShared.mBudget = std::make_shared<byte_budget>(unlimited);
+    }
   }
 
   void RunAcceptLoop(const std::shared_ptr<state>& aSelf)
@@ -75,8 +95,10 @@
 
   void Serve(const std::shared_ptr<state>& aSelf, tcp::socket aSocket)
   {
-    if (mSessions.size() >= mShared.mLimits.mConnections) {
-      mShared.NotifyRefusal(http_server_refusal::kTooManyConnections);
+    if (mSessions.size() >= mShared.mLimits.mConnections && !Displace()) {
+      boost::system::error_code ignored;
+      const auto peer = aSocket.remote_endpoint(ignored);
+      mShared.NotifyRefusal(http_server_refusal::kTooManyConnections, peer.address().to_string());
       return;
     }
     auto session = std::make_shared<http_session>(std::move(aSocket), mShared);
@@ -87,6 +109,37 @@
     });
   }
 
+  // How long ago the connection could first be closed for a new one; negative if it may not yet.
+  static duration Overdue(const http_session& aSession, instant aNow)
+  {
+    if (const auto since = aSession.ReadingSince()) {
+      return aNow - *since - kDisplaceReadingAfter;
+    }
+    const auto since = aSession.IdleSince();
+    return since ? aNow - *since - kDisplaceIdleAfter : duration::min();
+  }
+
+  // Closes the connection that has gone longest without a complete request, if that is too long.
+  bool Displace()
+  {
+    const instant now = monotonic_clock::now();
+    http_session* oldest = nullptr;
+    duration longest = duration::zero();
+    for (http_session* each : mSessions) {
+      const duration overdue = each->IsOpen() ? Overdue(*each, now) : duration::zero();
+      if (overdue > longest) {
+        longest = overdue;
+        oldest = each;
+      }
+    }
+    if (oldest == nullptr) {
+      return false;
+    }
+    mShared.NotifyRefusal(http_server_refusal::kDisplaced, oldest->Peer());
+    oldest->Abort();
+    return true;
+  }
+
   void Stop(const std::shared_ptr<state>& aSelf)
   {
     if (std::exchange(mShared.mStopping, true)) {
@@ -114,7 +167,7 @@
 
 http_server::http_server(fiber_runtime& aRuntime, const endpoint& aListen, http_handler aHandler,
                          http_server_limits aLimits)
-  : mState(std::make_shared<state>(aRuntime, aListen, std::move(aHandler), aLimits))
+  : mState(std::make_shared<state>(aRuntime, aListen, std::move(aHandler), std::move(aLimits)))
 {
   aRuntime.Spawn([self = mState] { self->RunAcceptLoop(self); });
 }
@@ -145,6 +198,12 @@
   mState->mShared.mOnRefusal = std::move(aObserver);
 }
 
+void http_server::OnRefusedPeer(
+  std::function<void(http_server_refusal, const std::string&)> aObserver)
+{
+  mState->mShared.mOnRefusedPeer = std::move(aObserver);
+}
+
 void http_server::StopAccepting()
 {
   mState->Stop(mState);
--- a/src/libnet/http_session.cpp
+++ b/src/libnet/http_session.cpp
@@ -11,7 +11,6 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -36,8 +35,12 @@
 
 constexpr unsigned kHttp11 = 11;
 constexpr std::size_t kFirstReadBytes = 4096;
+constexpr std::size_t kBodyReadBytes = std::size_t{ 16 } << 10U;
+// A body in chunks of one byte takes 6 bytes for each, or 13 with the chunk size at full width.
+constexpr std::size_t kMaxFramingFactor = 16;
 constexpr std::size_t kMaxLingerBytes = std::size_t{ 16 } << 20U;
 constexpr milliseconds kLingerTimeout{ 1'000 };
+constexpr std::string_view kRetryAfterSeconds = "1";
 
 // The error response to a request that could not be read, and the reason to count it under.
 struct read_failure
@@ -47,6 +50,10 @@
   const char* mWhat;
 };
 
+// The byte budget has no room for an announced body, or has closed the connection.
+const beast::error_code kNotAdmitted = asio::error::no_memory;
+const beast::error_code kCutOff = asio::error::no_buffer_space;
+
 // Returns nullopt when the connection is to be closed without a response.
 std::optional<read_failure> ClassifyFailure(beast::error_code aCode)
 {
@@ -57,6 +64,18 @@
     return read_failure{ 431, http_server_refusal::kHeaderTooLarge,
                          "the header is over the limit" };
   }
+  if (aCode == http::error::buffer_overflow) {
+    return read_failure{ 431, http_server_refusal::kFramingTooLarge,
+                         "chunk extensions or trailers are over the limit" };
+  }
+  if (aCode == kNotAdmitted) {
+    return read_failure{ 503, http_server_refusal::kOverBudget,
+                         "too many bytes are being read; the request has not run" };
+  }
+  if (aCode == kCutOff) {
+    return read_failure{ 503, http_server_refusal::kCutOffOverBudget,
+                         "the request was cut off to free memory; it has not run" };
+  }
   if (aCode == beast::error::timeout) {
     return read_failure{ 408, http_server_refusal::kTimeout,
                          "the request took too long to arrive" };
@@ -70,13 +89,13 @@
   return std::nullopt;
 }
 
-wire_response ToWire(const http_response& aResponse, bool aKeepAlive)
+wire_response ToWire(http_response& aResponse, bool aKeepAlive)
 {
   wire_response wire;
   wire.version(kHttp11);
   wire.result(aResponse.mStatus);
   ToBeast(aResponse.mHeaders, wire);
-  wire.body() = aResponse.mBody;
+  wire.body() = std::move(aResponse.mBody);
   wire.prepare_payload();
   if (aResponse.mTruncateAt) {
     wire.body().resize(std::min(*aResponse.mTruncateAt, wire.body().size()));
@@ -164,11 +183,21 @@
   state(tcp::socket aSocket, const http_session_shared& aShared)
     : mShared(aShared)
     , mStream(std::move(aSocket))
+    // A header at its limit fits, and so does a chunk header or a trailer of the same length.
+    , mBuffer(aShared.mLimits.mHeaderBytes + kFirstReadBytes)
+    , mFinishedAt(monotonic_clock::now())
   {
     beast::error_code ignored;
+    mPeer = mStream.socket().remote_endpoint(ignored).address().to_string();
+    mHolder.mClose = [this] { mStream.cancel(); };
+    mShared.mBudget->Join(mHolder);
     mStream.socket().set_option(tcp::no_delay(true), ignored);
   }
 
+  ~state() { mShared.mBudget->Leave(mHolder); }
+  state(const state&) = delete;
+  state& operator=(const state&) = delete;
+
   // Waits for the first byte of the next request. Returns false when the client closes the
   // connection or the idle timeout passes.
   bool WaitForRequest()
@@ -186,9 +215,12 @@
 
   beast::error_code Read(request_parser& aParser)
   {
-    aParser.body_limit(mShared.mLimits.mBodyBytes);
+    aParser.body_limit(mShared.MaxBodyBytes());
     aParser.header_limit(static_cast<std::uint32_t>(mShared.mLimits.mHeaderBytes));
     beast::error_code code = ReadHeader(aParser);
+    if (!code) {
+      code = AdmitBody(aParser);
+    }
     if (!code && beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
       mStream.expires_after(mShared.mLimits.mWriteTimeout);
       code = WriteContinue();
@@ -198,21 +230,96 @@
 
   beast::error_code ReadHeader(request_parser& aParser)
   {
-    const read_time_limit limit(mStream, mShared.mLimits.mHeaderTimeout);
-    const auto [code, bytes] = Await<std::size_t>([&](auto aHandler) {
-      http::async_read_header(mStream, mBuffer, aParser, std::move(aHandler));
-    });
-    return limit.TimeoutIfExpired(code);
+    const instant end = monotonic_clock::now() + mShared.mLimits.mHeaderTimeout;
+    beast::error_code code;
+    while (!code && !aParser.is_header_done()) {
+      code = Parse(aParser);
+      if (code == http::error::need_more) {
+        code = ReadMore(kFirstReadBytes, TimeUntil(end));
+      }
+      code = code ? code : CountBytes(aParser);
+    }
+    return code;
+  }
+
+  // Refuses a large body before it is read if the budget has no room for its announced length.
+  beast::error_code AdmitBody(const request_parser& aParser)
+  {
+    const auto announced = aParser.content_length();
+    if (!announced || *announced == 0) {
+      return {};
+    }
+    mAnnounced = static_cast<std::size_t>(*announced);
+    const bool admitted =
+      mShared.mBudget->Admit(mHolder, mBuffer.capacity() + mAnnounced, monotonic_clock::now());
+    return admitted ? beast::error_code() : kNotAdmitted;
   }
 
   beast::error_code ReadBody(request_parser& aParser)
   {
-    const read_time_limit limit(mStream, mShared.mLimits.mBodyTimeout);
+    const instant end = monotonic_clock::now() + mShared.mLimits.mBodyTimeout;
+    aParser.eager(true);
+    beast::error_code code;
+    std::size_t consumed = 0;
+    while (!code && !aParser.is_done()) {
+      const std::size_t buffered = mBuffer.size();
+      code = buffered > 0 ? Parse(aParser) : make_error_code(http::error::need_more);
+      consumed += buffered - mBuffer.size();
+      if (code == http::error::need_more) {
+        code = ReadMore(kBodyReadBytes, std::min(mShared.mLimits.mStallTimeout, TimeUntil(end)));
+      }
+      const std::size_t framing =
+        kMaxFramingFactor * aParser.get().body().size() + mShared.mLimits.mHeaderBytes;
+      if (!code && consumed > framing) {
+        code = http::error::buffer_overflow;
+      }
+      code = code ? code : CountBytes(aParser);
+    }
+    return code;
+  }
+
+  beast::error_code Parse(request_parser& aParser)
+  {
+    beast::error_code code;
+    mBuffer.consume(aParser.put(mBuffer.cdata(), code));
+    return code;
+  }
+
+  // Reads what has arrived into the buffer, at most aBytes.
+  beast::error_code ReadMore(std::size_t aBytes, milliseconds aTimeout)
+  {
+    const std::size_t room = std::min(aBytes, mBuffer.max_size() - mBuffer.size());
+    if (room == 0) {
+      return http::error::buffer_overflow;
+    }
+    const read_time_limit limit(mStream, aTimeout);
     const auto [code, bytes] = Await<std::size_t>(
-      [&](auto aHandler) { http::async_read(mStream, mBuffer, aParser, std::move(aHandler)); });
+      [&](auto aHandler) { mStream.async_read_some(mBuffer.prepare(room), std::move(aHandler)); });
+    mBuffer.commit(bytes);
+    mHolder.mLastProgress = monotonic_clock::now();
+    if (mHolder.mWasClosed) {
+      return kCutOff;
+    }
     return limit.TimeoutIfExpired(code);
   }
 
+  // Updates what this connection holds of the budget. Also detects that the budget closed it: a
+  // read that had completed before is not cancelled.
+  beast::error_code CountBytes(const request_parser& aParser)
+  {
+    const std::size_t body = std::max(mAnnounced, aParser.get().body().capacity());
+    const bool hasRoom =
+      !mHolder.mWasClosed &&
+      mShared.mBudget->Grow(mHolder, mBuffer.capacity() + body, monotonic_clock::now());
+    return hasRoom ? beast::error_code() : kCutOff;
+  }
+
+  static milliseconds TimeUntil(instant aEnd)
+  {
+    return std::chrono::ceil<milliseconds>(
+      std::max(aEnd - monotonic_clock::now(), duration::zero()));
+  }
+
   beast::error_code WriteContinue()
   {
     const http::response<http::empty_body> continueResponse(http::status::continue_, kHttp11);
@@ -233,14 +340,15 @@
     request.mHeaders = FromBeast(message);
     request.mBody = std::move(message.body());
 
-    const std::optional<http_response> response = CallHandler(request);
+    std::optional<http_response> response = CallHandler(request);
     if (!response || response->mDrop) {
       return false;
     }
     if (response->mStream) {
       return WriteStream(*response);
     }
-    return Write(*response, keepAlive && !mShared.mStopping);
+    request.mBody = {};
+    return Write(std::move(*response), keepAlive && !mShared.mStopping);
   }
 
   // An exception in the handler ends only the connection of its request, not the server. The
@@ -250,14 +358,17 @@
     try {
       return mShared.mHandler(aRequest);
     } catch (const std::exception&) {
-      mShared.NotifyRefusal(http_server_refusal::kHandlerFailed);
+      mShared.NotifyRefusal(http_server_refusal::kHandlerFailed, mPeer);
       return std::nullopt;
     }
   }
 
-  bool Write(const http_response& aResponse, bool aKeepAlive)
+  bool Write(http_response aResponse, bool aKeepAlive)
   {
     const wire_response wire = ToWire(aResponse, aKeepAlive);
+    mHolder.mSince = mHolder.mLastProgress = monotonic_clock::now();
+    mHolder.mIsClosable = !mHolder.mWasClosed;
+    mShared.mBudget->Charge(mHolder, mBuffer.capacity() + wire.body().capacity(), mHolder.mSince);
     beast::error_code failed;
     for (unsigned copy = 0; copy < aResponse.mCopies && !failed; ++copy) {
       mStream.expires_after(mShared.mLimits.mWriteTimeout);
@@ -265,7 +376,13 @@
         [&](auto aHandler) { http::async_write(mStream, wire, std::move(aHandler)); });
       failed = code;
     }
-    return !failed && aKeepAlive && !aResponse.mTruncateAt;
+    if (failed == beast::error::timeout) {
+      mShared.NotifyRefusal(http_server_refusal::kWriteTimeout, mPeer);
+    } else if (failed && mHolder.mWasClosed) {
+      mShared.NotifyRefusal(http_server_refusal::kCutOffOverBudget, mPeer);
+    }
+    mHolder.mIsClosable = false;
+    return !failed && !mHolder.mWasClosed && aKeepAlive && !aResponse.mTruncateAt;
   }
 
   bool WriteStream(const http_response& aResponse)
@@ -287,15 +404,27 @@
     return writer.Finish() && !mShared.mStopping;
   }
 
+  static error_kind KindOf(unsigned aStatus)
+  {
+    if (aStatus == 413) {
+      return error_kind::kTooLarge;
+    }
+    return aStatus == 503 ? error_kind::kUnavailable : error_kind::kInvalid;
+  }
+
   void SendErrorResponse(beast::error_code aCode)
   {
     const std::optional<read_failure> failure = ClassifyFailure(aCode);
     if (!failure) {
       return;
     }
-    mShared.NotifyRefusal(failure->mRefusal);
-    const error_kind kind = failure->mStatus == 413 ? error_kind::kTooLarge : error_kind::kInvalid;
-    Write(ErrorResponse(failure->mStatus, { kind, "request", failure->mWhat }), false);
+    mShared.NotifyRefusal(failure->mRefusal, mPeer);
+    http_response response =
+      ErrorResponse(failure->mStatus, { KindOf(failure->mStatus), "request", failure->mWhat });
+    if (failure->mStatus == 503) {
+      response.mHeaders.Set("Retry-After", kRetryAfterSeconds);
+    }
+    Write(std::move(response), false);
     Linger();
   }
 
@@ -311,16 +440,53 @@
     while (!failed && discarded < kMaxLingerBytes) {
       mBuffer.clear();
       const auto [code, bytes] = Await<std::size_t>([&](auto aHandler) {
-        mStream.async_read_some(mBuffer.prepare(std::size_t{ 64 } << 10U), std::move(aHandler));
+        mStream.async_read_some(mBuffer.prepare(kFirstReadBytes), std::move(aHandler));
       });
       failed = code;
       discarded += bytes;
     }
   }
 
+  void BeginRequest()
+  {
+    mBusy = true;
+    mAnnounced = 0;
+    mHolder.mSince = mHolder.mLastProgress = monotonic_clock::now();
+    mHolder.mIsClosable = true;
+  }
+
+  void EndRequest()
+  {
+    mHolder.mIsClosable = false;
+    mBusy = false;
+    mBuffer.shrink_to_fit();
+    mShared.mBudget->Charge(mHolder, mBuffer.capacity(), monotonic_clock::now());
+    mFinishedAt = monotonic_clock::now();
+  }
+
+  // Serves one request. Returns whether the connection may carry another one.
+  bool ServeRequest()
+  {
+    // Freed before an error response is sent, which may take long.
+    std::optional<request_parser> parser(std::in_place);
+    const beast::error_code failed = Read(*parser);
+    mHolder.mIsClosable = false;
+    if (!failed) {
+      return RespondTo(*parser);
+    }
+    parser.reset();
+    mShared.mBudget->Charge(mHolder, mBuffer.capacity(), monotonic_clock::now());
+    SendErrorResponse(failed);
+    return false;
+  }
+
   const http_session_shared& mShared;
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
+  std::string mPeer;
+  budget_holder mHolder;
+  std::size_t mAnnounced = 0; // length of the body as announced in the header
+  instant mFinishedAt;        // end of the last response, or when the connection was accepted
   bool mBusy = false;
 };
 
@@ -335,16 +501,9 @@
 {
   bool keepOpen = true;
   while (keepOpen && mState->WaitForRequest()) {
-    mState->mBusy = true;
-    request_parser parser;
-    const beast::error_code failed = mState->Read(parser);
-    if (failed) {
-      mState->SendErrorResponse(failed);
-      keepOpen = false;
-    } else {
-      keepOpen = mState->RespondTo(parser);
-    }
-    mState->mBusy = false;
+    mState->BeginRequest();
+    keepOpen = mState->ServeRequest();
+    mState->EndRequest();
   }
   Abort();
 }
@@ -354,6 +513,27 @@
   return mState->mBusy;
 }
 
+std::optional<instant> http_session::ReadingSince() const
+{
+  const bool isReading = mState->mBusy && mState->mHolder.mIsClosable;
+  return isReading ? std::optional(mState->mHolder.mSince) : std::nullopt;
+}
+
+std::optional<instant> http_session::IdleSince() const
+{
+  return mState->mBusy ? std::nullopt : std::optional(mState->mFinishedAt);
+}
+
+bool http_session::IsOpen() const
+{
+  return mState->mStream.socket().is_open();
+}
+
+const std::string& http_session::Peer() const
+{
+  return mState->mPeer;
+}
+
 void http_session::CloseIfIdle()
 {
   beast::error_code code;
--- a/src/libnet/http_session.h
+++ b/src/libnet/http_session.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "briarwind/byte_budget.h"
 #include "briarwind/http_server.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace briarwind {
 
@@ -15,13 +18,23 @@
   http_handler mHandler;
   http_server_limits mLimits;
   std::function<void(http_server_refusal)> mOnRefusal;
+  std::function<void(http_server_refusal, const std::string&)> mOnRefusedPeer;
+  std::shared_ptr<byte_budget> mBudget;
   bool mStopping = false;
 
-  void NotifyRefusal(http_server_refusal aRefusal) const
+  void NotifyRefusal(http_server_refusal aRefusal, const std::string& aPeer) const
   {
     if (mOnRefusal) {
       mOnRefusal(aRefusal);
     }
+    if (mOnRefusedPeer) {
+      mOnRefusedPeer(aRefusal, aPeer);
+    }
+  }
+
+  std::size_t MaxBodyBytes() const
+  {
+    return mLimits.mCurrentBodyBytes ? mLimits.mCurrentBodyBytes() : mLimits.mBodyBytes;
   }
 };
 
@@ -39,6 +52,13 @@
 
   // Whether a request is being read, handled or responded to.
   bool IsBusy() const;
+  // Start of the request that is incomplete, or of the response that is not completely written.
+  std::optional<instant> ReadingSince() const;
+  // End of the last response or, before the first, the time when the connection was accepted.
+  std::optional<instant> IdleSince() const;
+  bool IsOpen() const;
+  // The address of the client, without its port.
+  const std::string& Peer() const;
   // Closes the connection unless a request is in flight or has begun to arrive.
   void CloseIfIdle();
   // Closes the connection at once.
--- a/src/libnet/http_session_test.cpp
+++ b/src/libnet/http_session_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -78,3 +79,79 @@
     BW_CHECK(refusals == expected);
   }
 }
+
+// Guards against buffers that grow with what a client sends between and after the chunks of a body,
+// and against the handling of a request whose body was cut off to free memory.
+BW_STORY("a client that sends more than a server holds")
+{
+  fiber_runtime runtime;
+  byte_budget::limits small;
+  small.mTotal = 200'000;
+  small.mKeptForSmall = 0;
+  http_server_limits limits;
+  limits.mBudget = std::make_shared<byte_budget>(small);
+  int handled = 0;
+  http_server server(
+    runtime, { "127.0.0.1", 0 },
+    [&](const http_request&) {
+      ++handled;
+      return http_response{};
+    },
+    limits);
+  std::vector<http_server_refusal> refusals;
+  server.OnRefusal([&](http_server_refusal aRefusal) { refusals.push_back(aRefusal); });
+  const std::string chunked =
+    "POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const auto answer = [&](const std::string& aText) {
+    return SendAndReceiveAll(runtime, server.Listening(), aText);
+  };
+
+  BW_SECTION("receives 431 for trailers over the limit of a header")
+  {
+    const std::string line = "Field: " + std::string(1'000, 'x') + "\r\n";
+    std::string text = chunked + "1\r\nx\r\n0\r\n";
+    while (text.size() < 30'000) {
+      text += line;
+    }
+    BW_CHECK(answer(text).starts_with("HTTP/1.1 431 "));
+    BW_CHECK(refusals == std::vector{ http_server_refusal::kFramingTooLarge });
+    BW_EQUAL(0, handled);
+  }
+  BW_SECTION("receives 431 for many chunk extensions that are long together")
+  {
+    std::string text = chunked;
+    while (text.size() < 100'000) {
+      text += "1;name=" + std::string(1'000, 'x') + "\r\nx\r\n";
+    }
+    BW_CHECK(answer(text).starts_with("HTTP/1.1 431 "));
+    BW_CHECK(refusals == std::vector{ http_server_refusal::kFramingTooLarge });
+  }
+  BW_SECTION("is served if its chunks have one byte and its trailers are short")
+  {
+    std::string text = chunked;
+    for (int count = 0; count < 20'000; ++count) {
+      text += "00000001\r\nx\r\n";
+    }
+    text += "0\r\nTrailer: x\r\n\r\n";
+    text.insert(text.find("\r\n") + 2, "Connection: close\r\n");
+    BW_CHECK(answer(text).starts_with("HTTP/1.1 200 "));
+    BW_EQUAL(1, handled);
+  }
+  BW_SECTION("receives 503 at the header of a body that does not fit")
+  {
+    const std::string received =
+      answer("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\n");
+    BW_CHECK(received.starts_with("HTTP/1.1 503 "));
+    BW_CHECK(received.find("Retry-After: 1\r\n") != std::string::npos);
+    BW_CHECK(refusals == std::vector{ http_server_refusal::kOverBudget });
+    BW_EQUAL(0, handled);
+  }
+  BW_SECTION("receives 503 for an unannounced body that does not fit, which is not handled")
+  {
+    const std::string text = chunked + "493e0\r\n" + std::string(300'000, 'x') + "\r\n0\r\n\r\n";
+    BW_CHECK(answer(text).starts_with("HTTP/1.1 503 "));
+    BW_CHECK(refusals == std::vector{ http_server_refusal::kCutOffOverBudget });
+    BW_EQUAL(0, handled);
+    BW_CHECK(limits.mBudget->Used() < 50'000);
+  }
+}
