briarwind-node sizes its servers from the host's memory and descriptors

Cause: limits.memory_mb and limits.max_fds of the settings file were not read. Each of the three servers took 4,096 connections and bodies of 8 MiB, whatever the host had.

Ruled out: one number of connections for all servers, since callers could then keep out the peers and the load balancer's checks; a limit above limits.max_body_bytes at the HTTP layer, since the rest of such a body is read for nothing.

Change: one byte budget for the three servers, a quarter of memory_mb. 19 of 32 parts of max_fds (or of RLIMIT_NOFILE, if lower) are for clients: 1,792 callers, 512 peers and 128 for readiness of 4,100. The body limit of the callers' server follows limits.max_body_bytes; a body over it gets 413 as before, now before it is read, and its connection is closed. Defaults are those of the smallest host (160 MB, 4,100).

--- a/src/include/briarwind/node_settings.h
+++ b/src/include/briarwind/node_settings.h
@@ -18,9 +18,12 @@
   endpoint mReadiness; ///< listening address for readiness checks of the load balancer
   endpoint mPeers;     ///< listening address for the other hosts; also serves the metrics
   endpoint mStore;     ///< address of the platform's store
-  std::optional<endpoint> mAdvisor;   ///< address of the placement advisor, if one is deployed
-  double mProcessorShare = 1;         ///< in cores; hosts with more are preferred as leader
-  milliseconds mGracePeriod{ 6'000 }; ///< time from SIGTERM until the platform sends SIGKILL
+  std::optional<endpoint> mAdvisor; ///< address of the placement advisor, if one is deployed
+  double mProcessorShare = 1;       ///< in cores; hosts with more are preferred as leader
+  // Without a value in the settings file, those of the smallest host.
+  std::size_t mMemoryMb = 160;         ///< memory of the host, from which buffers are sized
+  std::size_t mMaxDescriptors = 4'100; ///< descriptors of the process
+  milliseconds mGracePeriod{ 6'000 };  ///< time from SIGTERM until the platform sends SIGKILL
   work_options mWork;
 
   bool operator==(const node_settings&) const = delete;
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -3,6 +3,7 @@
 #include "caller_service.h"
 #include "control_events.h"
 #include "relayed_store.h"
+#include "server_limits.h"
 #include "work_driver.h"
 
 #include "briarwind/http_server.h"
@@ -13,7 +14,9 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <map>
 #include <ranges>
+#include <string>
 
 namespace briarwind {
 
@@ -30,6 +33,8 @@
 constexpr milliseconds kReloadInterval{ 2'000 };
 constexpr milliseconds kOrderDrainTimeout{ 700 };
 constexpr milliseconds kOrderDrainPollInterval{ 10 };
+// At most one log line for each server and reason within this time.
+constexpr milliseconds kRefusalLogInterval{ 10'000 };
 constexpr std::string_view kStorePath = "/v1/store/";
 constexpr std::string_view kWaitingPath = "/v1/waiting";
 constexpr std::string_view kStatePath = "/v1/state";
@@ -75,14 +80,20 @@
                     [this] { mDriver.LeaveTerm(); },
                     [this](std::int64_t aEpoch) { mDriver.ContinueTerm(aEpoch); } })
     , mPeerPool(aRuntime)
-    , mPeerServer(aRuntime, aSettings.mPeers,
-                  [this](const http_request& aRequest) { return AnswerPeer(aRequest); })
+    , mServerLimits(MakeServerLimits(aSettings, [this] { return mCallerService.MaxBodyBytes(); }))
+    , mPeerServer(
+        aRuntime, aSettings.mPeers,
+        [this](const http_request& aRequest) { return AnswerPeer(aRequest); }, mServerLimits.mPeers)
     , mReadinessServer(
         aRuntime, aSettings.mReadiness,
-        [this](const http_request&) { return PlainResponse(IsReady() ? 200 : 503, {}); })
-    , mCallerServer(aRuntime, aSettings.mCallers, [this](const http_request& aRequest) {
-      return mAdapters.mAnswerCaller(mCallerService, aRequest);
-    })
+        [this](const http_request&) { return PlainResponse(IsReady() ? 200 : 503, {}); },
+        mServerLimits.mReadiness)
+    , mCallerServer(
+        aRuntime, aSettings.mCallers,
+        [this](const http_request& aRequest) {
+          return mAdapters.mAnswerCaller(mCallerService, aRequest);
+        },
+        mServerLimits.mCallers)
   {
     CountRefusals(mCallerServer, "callers");
     CountRefusals(mReadinessServer, "readiness");
@@ -302,6 +313,7 @@
   work_driver mDriver;
   leadership mLeadership;
   http_pool mPeerPool;
+  const server_limits mServerLimits;
   http_server mPeerServer;
   http_server mReadinessServer;
   http_server mCallerServer;
