Refusals by HTTP servers are logged with the peer, and the byte budget has gauges

Cause: a host under clients outside the limits showed one counter and no line; neither their address nor the use of the budget was visible.

Ruled out: one line for each refusal, which such clients would use to fill the log; a label for the peer, which has no bounded set of values.

Change: node.client-refused (BW6409) with server, reason, peer and count, at most one line for each server and reason in 10 s. Gauges of the budget and its use, set when the metrics are read.

--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -54,15 +54,16 @@
   kNodeReloadFailed,
   kLogLinesDropped,
   kRequestFailed,
+  kClientRefused,
 };
 
 constexpr std::array kMetrics{
-  kStoreCalls,       kStoreFailures, kStoreRelists,     kStoreRelays,
-  kWorkDecisionTime, kWorkWriteTime, kWorkWriteRetries, kWorkRemovalRetries,
-  kStartOrders,      kStopOrders,    kWorkPolls,        kRegistryUnreadableEntries,
-  kAdviceCalls,      kCoreDecisions, kCallerCalls,      kCallerRefusals,
-  kHttpRefusals,     kCallerTime,    kPeerCalls,        kOrganisationUse,
-  kOrganisationLimit,
+  kStoreCalls,        kStoreFailures,  kStoreRelists,     kStoreRelays,
+  kWorkDecisionTime,  kWorkWriteTime,  kWorkWriteRetries, kWorkRemovalRetries,
+  kStartOrders,       kStopOrders,     kWorkPolls,        kRegistryUnreadableEntries,
+  kAdviceCalls,       kCoreDecisions,  kCallerCalls,      kCallerRefusals,
+  kHttpRefusals,      kCallerTime,     kPeerCalls,        kOrganisationUse,
+  kOrganisationLimit, kHttpBudgetUsed, kHttpBudgetTotal,
 };
 
 } // namespace
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -189,6 +189,12 @@
   "An unexpected error in the handler of a request to the server `server` closed the connection; "
   "the process continues."
 };
+inline constexpr event_kind kClientRefused{
+  6409, log_level::kWarning, "node.client-refused",
+  "The server `server` refused a request or closed a connection of the client at `peer`, for the "
+  "cause in `reason`; `count` such cases since the last line for this server and cause, of which "
+  "there is at most one in 10 s."
+};
 inline constexpr event_kind kLogLinesDropped{
   6407, log_level::kWarning, "log.dropped",
   "Log lines were dropped since the last such event, because the log's reader was too slow."
@@ -258,6 +264,14 @@
   metric_type::kCounter, "briarwind_node_http_refusals_total", "reason",
   "Connections and requests that a server of this host did not take, by reason."
 };
+inline constexpr metric_kind kHttpBudgetUsed{
+  metric_type::kGauge, "briarwind_node_http_budget_used_bytes", "",
+  "Bytes of requests that are not answered and of responses that are not written yet."
+};
+inline constexpr metric_kind kHttpBudgetTotal{
+  metric_type::kGauge, "briarwind_node_http_budget_bytes", "",
+  "Limit on the bytes of requests and responses that all servers of the process hold."
+};
 inline constexpr metric_kind kCallerTime{ metric_type::kSummary, "briarwind_node_caller_seconds",
                                           "call", "Time to answer a caller, by kind of call." };
 inline constexpr metric_kind kPeerCalls{ metric_type::kCounter, "briarwind_node_peer_calls_total",
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -118,14 +118,28 @@
   // Counts connections and requests that aServer refused, and logs handlers that failed.
   void CountRefusals(http_server& aServer, std::string_view aName)
   {
-    aServer.OnRefusal([this, aName](http_server_refusal aRefusal) {
+    aServer.OnRefusedPeer([this, aName](http_server_refusal aRefusal, const std::string& aPeer) {
       mMetrics.Count(kHttpRefusals, ToString(aRefusal));
       if (aRefusal == http_server_refusal::kHandlerFailed) {
         LogEvent(kRequestFailed, { Field("server", aName) });
+      } else {
+        LogRefusal(aName, aRefusal, aPeer);
       }
     });
   }
 
+  void LogRefusal(std::string_view aServer, http_server_refusal aRefusal, const std::string& aPeer)
+  {
+    refusal_log& log = mRefusalLogs[{ aServer, aRefusal }];
+    ++log.mCount;
+    const instant now = monotonic_clock::now();
+    if (now >= log.mNext) {
+      LogEvent(kClientRefused, { Field("server", aServer), Field("reason", ToString(aRefusal)),
+                                 Field("peer", aPeer), Field("count", log.mCount) });
+      log = { now + kRefusalLogInterval, 0 };
+    }
+  }
+
   void ReloadPeriodically()
   {
     while (true) {
@@ -273,6 +287,8 @@
       return AnswerNotification(aRequest.mBody);
     }
     if (path == "/metrics") {
+      mMetrics.Set(kHttpBudgetUsed, static_cast<double>(mServerLimits.mPeers.mBudget->Used()));
+      mMetrics.Set(kHttpBudgetTotal, static_cast<double>(mServerLimits.mPeers.mBudget->Total()));
       return PlainResponse(200, mMetrics.Render());
     }
     return PlainResponse(404, "no such path");
@@ -299,6 +315,13 @@
     return drained ? 0 : 1;
   }
 
+  // Refusals of one server for one reason that have not been logged yet.
+  struct refusal_log
+  {
+    instant mNext;
+    std::int64_t mCount = 0;
+  };
+
   fiber_runtime& mRuntime;
   metrics& mMetrics;
   const node_settings& mSettings;
@@ -313,6 +336,7 @@
   work_driver mDriver;
   leadership mLeadership;
   http_pool mPeerPool;
+  std::map<std::pair<std::string_view, http_server_refusal>, refusal_log> mRefusalLogs;
   const server_limits mServerLimits;
   http_server mPeerServer;
   http_server mReadinessServer;
