--- a/src/libnet/http_session_test.cpp
+++ b/src/libnet/http_session_test.cpp
@@ -51,6 +51,45 @@
   }
 }
 
+// A server with a budget of 200,000 bytes that counts the requests it handles.
+struct bounded_server
+{
+  bounded_server()
+  {
+    mServer.OnRefusal([this](http_server_refusal aRefusal) { mRefusals.push_back(aRefusal); });
+  }
+
+  static http_server_limits Limits()
+  {
+    byte_budget::limits small;
+    small.mTotal = 200'000;
+    small.mKeptForSmall = 0;
+    http_server_limits limits;
+    limits.mBudget = std::make_shared<byte_budget>(small);
+    return limits;
+  }
+
+  std::string Answer(const std::string& aText)
+  {
+    return SendAndReceiveAll(mRuntime, mServer.Listening(), aText);
+  }
+
+  fiber_runtime mRuntime;
+  http_server_limits mLimits = Limits();
+  int mHandled = 0;
+  std::vector<http_server_refusal> mRefusals;
+  http_server mServer{ mRuntime,
+                       { "127.0.0.1", 0 },
+                       [this](const http_request&) {
+                         ++mHandled;
+                         return http_response{};
+                       },
+                       mLimits };
+};
+
+const std::string kChunkedHeader =
+  "POST /echo HTTP/1.1\r\nHost: x\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 } // namespace
 
 // Guards against a server that closes the connection of a slow client without a response: the
@@ -80,78 +119,65 @@
   }
 }
 
-// Guards against buffers that grow with what a client sends between and after the chunks of a body,
-// and against the handling of a request whose body was cut off to free memory.
-BW_STORY("a client that sends more than a server holds")
+// Guards against buffers that grow with what a client sends between and after the chunks of a body.
+BW_STORY("a client that sends more than a body in chunks")
 {
-  fiber_runtime runtime;
-  byte_budget::limits small;
-  small.mTotal = 200'000;
-  small.mKeptForSmall = 0;
-  http_server_limits limits;
-  limits.mBudget = std::make_shared<byte_budget>(small);
-  int handled = 0;
-  http_server server(
-    runtime, { "127.0.0.1", 0 },
-    [&](const http_request&) {
-      ++handled;
-      return http_response{};
-    },
-    limits);
-  std::vector<http_server_refusal> refusals;
-  server.OnRefusal([&](http_server_refusal aRefusal) { refusals.push_back(aRefusal); });
-  const std::string chunked =
-    "POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
-  const auto answer = [&](const std::string& aText) {
-    return SendAndReceiveAll(runtime, server.Listening(), aText);
-  };
+  bounded_server server;
 
   BW_SECTION("receives 431 for trailers over the limit of a header")
   {
     const std::string line = "Field: " + std::string(1'000, 'x') + "\r\n";
-    std::string text = chunked + "1\r\nx\r\n0\r\n";
+    std::string text = kChunkedHeader + "1\r\nx\r\n0\r\n";
     while (text.size() < 30'000) {
       text += line;
     }
-    BW_CHECK(answer(text).starts_with("HTTP/1.1 431 "));
-    BW_CHECK(refusals == std::vector{ http_server_refusal::kFramingTooLarge });
-    BW_EQUAL(0, handled);
+    BW_CHECK(server.Answer(text).starts_with("HTTP/1.1 431 "));
+    BW_CHECK(server.mRefusals == std::vector{ http_server_refusal::kFramingTooLarge });
+    BW_EQUAL(0, server.mHandled);
   }
   BW_SECTION("receives 431 for many chunk extensions that are long together")
   {
-    std::string text = chunked;
+    std::string text = kChunkedHeader;
     while (text.size() < 100'000) {
       text += "1;name=" + std::string(1'000, 'x') + "\r\nx\r\n";
     }
-    BW_CHECK(answer(text).starts_with("HTTP/1.1 431 "));
-    BW_CHECK(refusals == std::vector{ http_server_refusal::kFramingTooLarge });
+    BW_CHECK(server.Answer(text).starts_with("HTTP/1.1 431 "));
+    BW_CHECK(server.mRefusals == std::vector{ http_server_refusal::kFramingTooLarge });
   }
   BW_SECTION("is served if its chunks have one byte and its trailers are short")
   {
-    std::string text = chunked;
+    std::string text = kChunkedHeader;
     for (int count = 0; count < 20'000; ++count) {
       text += "00000001\r\nx\r\n";
     }
     text += "0\r\nTrailer: x\r\n\r\n";
-    text.insert(text.find("\r\n") + 2, "Connection: close\r\n");
-    BW_CHECK(answer(text).starts_with("HTTP/1.1 200 "));
-    BW_EQUAL(1, handled);
+    BW_CHECK(server.Answer(text).starts_with("HTTP/1.1 200 "));
+    BW_EQUAL(1, server.mHandled);
   }
-  BW_SECTION("receives 503 at the header of a body that does not fit")
+}
+
+// Guards against a process that runs out of memory, and against the handling of a request whose
+// body was cut off.
+BW_STORY("a body that does not fit into the budget")
+{
+  bounded_server server;
+
+  BW_SECTION("receives 503 at its header if it is announced")
   {
     const std::string received =
-      answer("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\n");
+      server.Answer("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\n");
     BW_CHECK(received.starts_with("HTTP/1.1 503 "));
     BW_CHECK(received.find("Retry-After: 1\r\n") != std::string::npos);
-    BW_CHECK(refusals == std::vector{ http_server_refusal::kOverBudget });
-    BW_EQUAL(0, handled);
+    BW_CHECK(server.mRefusals == std::vector{ http_server_refusal::kOverBudget });
+    BW_EQUAL(0, server.mHandled);
   }
-  BW_SECTION("receives 503 for an unannounced body that does not fit, which is not handled")
+  BW_SECTION("receives 503 and is not handled if it is unannounced")
   {
-    const std::string text = chunked + "493e0\r\n" + std::string(300'000, 'x') + "\r\n0\r\n\r\n";
-    BW_CHECK(answer(text).starts_with("HTTP/1.1 503 "));
-    BW_CHECK(refusals == std::vector{ http_server_refusal::kCutOffOverBudget });
-    BW_EQUAL(0, handled);
-    BW_CHECK(limits.mBudget->Used() < 50'000);
+    const std::string text =
+      kChunkedHeader + "493e0\r\n" + std::string(300'000, 'x') + "\r\n0\r\n\r\n";
+    BW_CHECK(server.Answer(text).starts_with("HTTP/1.1 503 "));
+    BW_CHECK(server.mRefusals == std::vector{ http_server_refusal::kCutOffOverBudget });
+    BW_EQUAL(0, server.mHandled);
+    BW_CHECK(server.mLimits.mBudget->Used() < 50'000);
   }
 }
