--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -3,6 +3,7 @@
 #include "caller_service.h"
 #include "control_events.h"
 #include "relayed_store.h"
+#include "server_limits.h"
 #include "work_driver.h"
 
 #include "briarwind/http_server.h"
@@ -13,7 +14,9 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <map>
 #include <ranges>
+#include <string>
 
 namespace briarwind {
 
@@ -30,6 +33,8 @@
 constexpr milliseconds kReloadInterval{ 2'000 };
 constexpr milliseconds kOrderDrainTimeout{ 700 };
 constexpr milliseconds kOrderDrainPollInterval{ 10 };
+// At most one log line for each server and reason within this time.
+constexpr milliseconds kRefusalLogInterval{ 10'000 };
 constexpr std::string_view kStorePath = "/v1/store/";
 constexpr std::string_view kWaitingPath = "/v1/waiting";
 constexpr std::string_view kStatePath = "/v1/state";
@@ -75,14 +80,20 @@
                     [this] { mDriver.LeaveTerm(); },
                     [this](std::int64_t aEpoch) { mDriver.ContinueTerm(aEpoch); } })
     , mPeerPool(aRuntime)
-    , mPeerServer(aRuntime, aSettings.mPeers,
-                  [this](const http_request& aRequest) { return AnswerPeer(aRequest); })
+    , mServerLimits(MakeServerLimits(aSettings, [this] { return mCallerService.MaxBodyBytes(); }))
+    , mPeerServer(
+        aRuntime, aSettings.mPeers,
+        [this](const http_request& aRequest) { return AnswerPeer(aRequest); }, mServerLimits.mPeers)
     , mReadinessServer(
         aRuntime, aSettings.mReadiness,
-        [this](const http_request&) { return PlainResponse(IsReady() ? 200 : 503, {}); })
-    , mCallerServer(aRuntime, aSettings.mCallers, [this](const http_request& aRequest) {
-      return mAdapters.mAnswerCaller(mCallerService, aRequest);
-    })
+        [this](const http_request&) { return PlainResponse(IsReady() ? 200 : 503, {}); },
+        mServerLimits.mReadiness)
+    , mCallerServer(
+        aRuntime, aSettings.mCallers,
+        [this](const http_request& aRequest) {
+          return mAdapters.mAnswerCaller(mCallerService, aRequest);
+        },
+        mServerLimits.mCallers)
   {
     CountRefusals(mCallerServer, "callers");
     CountRefusals(mReadinessServer, "readiness");
@@ -107,14 +118,28 @@
   // Counts connections and requests that aServer refused, and logs handlers that failed.
   void CountRefusals(http_server& aServer, std::string_view aName)
   {
-    aServer.OnRefusal([this, aName](http_server_refusal aRefusal) {
+    aServer.OnRefusedPeer([this, aName](http_server_refusal aRefusal, const std::string& aPeer) {
       mMetrics.Count(kHttpRefusals, ToString(aRefusal));
       if (aRefusal == http_server_refusal::kHandlerFailed) {
         LogEvent(kRequestFailed, { Field("server", aName) });
+      } else {
+        LogRefusal(aName, aRefusal, aPeer);
       }
     });
   }
 
+  void LogRefusal(std::string_view aServer, http_server_refusal aRefusal, const std::string& aPeer)
+  {
+    refusal_log& log = mRefusalLogs[{ aServer, aRefusal }];
+    ++log.mCount;
+    const instant now = monotonic_clock::now();
+    if (now >= log.mNext) {
+      LogEvent(kClientRefused, { Field("server", aServer), Field("reason", ToString(aRefusal)),
+                                 Field("peer", aPeer), Field("count", log.mCount) });
+      log = { now + kRefusalLogInterval, 0 };
+    }
+  }
+
   void ReloadPeriodically()
   {
     while (true) {
@@ -262,6 +287,8 @@
       return AnswerNotification(aRequest.mBody);
     }
     if (path == "/metrics") {
+      mMetrics.Set(kHttpBudgetUsed, static_cast<double>(mServerLimits.mPeers.mBudget->Used()));
+      mMetrics.Set(kHttpBudgetTotal, static_cast<double>(mServerLimits.mPeers.mBudget->Total()));
       return PlainResponse(200, mMetrics.Render());
     }
     return PlainResponse(404, "no such path");
@@ -288,6 +315,13 @@
     return drained ? 0 : 1;
   }
 
+  // Refusals of one server for one reason that have not been logged yet.
+  struct refusal_log
+  {
+    instant mNext;
+    std::int64_t mCount = 0;
+  };
+
   fiber_runtime& mRuntime;
   metrics& mMetrics;
   const node_settings& mSettings;
@@ -302,6 +336,8 @@
   work_driver mDriver;
   leadership mLeadership;
   http_pool mPeerPool;
+  std::map<std::pair<std::string_view, http_server_refusal>, refusal_log> mRefusalLogs;
+  const server_limits mServerLimits;
   http_server mPeerServer;
   http_server mReadinessServer;
   http_server mCallerServer;
