The fleet simulation checks the limits of organisations

Cause: nothing compared the ledger's promise with what the workers hold.

Ruled out: asking the ledger itself, which would repeat its errors; checking at each time step, since a limit that is lowered below use is exceeded by runs that started before.

Change: at each start the runs that all simulated workers hold for the organisation, those being stopped included, are compared with the highest limit that was in force within the last 11 s (a lease, and the time that a former leader keeps acting). A property test changes limits under random faults and cancellations.

--- a/src/libwork/testing/fleet_simulation.cpp
+++ b/src/libwork/testing/fleet_simulation.cpp
@@ -14,6 +14,9 @@
 // How long a former leader keeps acting: it detects within its lease that it no longer leads.
 constexpr milliseconds kStaleLeaderTime{ 400 };
 constexpr milliseconds kMaxOrderDelay{ 12'000 };
+// A start that was ordered below a former limit takes effect at most this much later: within the
+// time that a former leader keeps acting and the lease in its order.
+constexpr milliseconds kLimitGrace{ 11'000 };
 
 wall_time WallAt(instant aNow)
 {
@@ -42,6 +45,7 @@
   }
   mSettings.mQueues["urgent"] = { "pool", 0, 3, 1.5, milliseconds(250) };
   mSettings.mQueues["batch"] = { "pool", 1, 3, 3, milliseconds(1'000) };
+  mPolicies.emplace_back(mNow, mSettings.mOrganisations);
   ChangeLeader();
 }
 
@@ -95,6 +99,7 @@
 void fleet_simulation::SetSettings(const work_settings& aSettings)
 {
   mSettings = aSettings;
+  mPolicies.emplace_back(mNow, mSettings.mOrganisations);
   Core().SetSettings(mSettings, mNow);
 }
 
@@ -286,6 +291,9 @@
   if (mAcknowledgedDone.contains(task) && !step.mLongRunning) {
     addViolation("started after its end was acknowledged");
   }
+  if (!IsWithinLimit(job.mOrganisation)) {
+    addViolation("the runs exceed the limit of organisation " + job.mOrganisation);
+  }
   task_demand used;
   int siblings = 0;
   for (const auto& [other, run] : mWorkers[aWorker]->mRuns) {
@@ -312,6 +320,33 @@
   }
 }
 
+bool fleet_simulation::IsWithinLimit(const std::string& aOrganisation) const
+{
+  task_demand used;
+  for (const auto& worker : mWorkers) {
+    for (const run_id& run : worker->mRuns | std::views::keys) {
+      const work_job& job = mJobs.at(run.mTask.mJob);
+      used += job.mOrganisation == aOrganisation
+                ? job.mSteps.at(static_cast<std::size_t>(run.mTask.mStep)).mDemand
+                : task_demand{};
+    }
+  }
+  const auto isWithin = [&](auto task_demand::* aResource) {
+    for (std::size_t i = 0; i < mPolicies.size(); ++i) {
+      const bool outdated = i + 1 < mPolicies.size() && mPolicies[i + 1].first + kLimitGrace < mNow;
+      const auto policy = mPolicies[i].second.find(aOrganisation);
+      const auto limit =
+        policy == mPolicies[i].second.end() ? 0 : policy->second.mMaxInUse.*aResource;
+      if (!outdated && (limit == 0 || used.*aResource <= limit)) {
+        return true;
+      }
+    }
+    return false;
+  };
+  return isWithin(&task_demand::mAccelerators) && isWithin(&task_demand::mMilliCores) &&
+         isWithin(&task_demand::mMemoryMb);
+}
+
 void fleet_simulation::RecordAcknowledged(const simulated_worker& aWorker, std::int64_t aThrough)
 {
   for (const listed_end& each : aWorker.mEnds) {
--- a/src/libwork/testing/fleet_simulation.h
+++ b/src/libwork/testing/fleet_simulation.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// Simulates workers, a store and a clock without a network, to test work_core. Checks the
@@ -96,6 +97,9 @@
   void Poll(leader& aLeader);
   void CommitDue();
   void CheckStart(const start_run& aOrder, std::size_t aWorker);
+  /// Whether the organisation's runs on all workers are within the highest limit that was in force
+  /// while any of their start orders was valid.
+  bool IsWithinLimit(const std::string& aOrganisation) const;
   void RecordAcknowledged(const simulated_worker& aWorker, std::int64_t aThrough);
   std::size_t IndexOf(const std::string& aWorker) const;
   bool Chance(double aShare);
@@ -119,6 +123,8 @@
   std::set<task_id> mEndedDone;
   std::set<task_id> mAcknowledgedDone;
   work_settings mSettings;
+  /// Policies of the organisations, with the time from which they were in force.
+  std::vector<std::pair<instant, std::map<std::string, organisation_policy>>> mPolicies;
   store_revision mRevision = 1;
 };
 
--- a/src/libwork/work_core_property_test.cpp
+++ b/src/libwork/work_core_property_test.cpp
@@ -89,6 +89,56 @@
   }
 }
 
+// Limits between a third of the fleet and all of it, so that they bind and each gang fits at times.
+void ChangeLimits(fleet_simulation& aFleet, work_settings aSettings, std::mt19937_64& aRandom)
+{
+  const auto pick = [&](std::int64_t aFrom, std::int64_t aTo) {
+    return std::uniform_int_distribution<std::int64_t>(aFrom, aTo)(aRandom);
+  };
+  for (const char* each : { "o1", "o2", "o3" }) {
+    organisation_policy& policy = aSettings.mOrganisations[each];
+    policy.mWeight = static_cast<double>(pick(1, 40)) / 10;
+    policy.mMaxInUse.mAccelerators = static_cast<int>(pick(8, 48));
+    policy.mMaxInUse.mMilliCores = pick(0, 1) == 0 ? 0 : pick(60'000, 700'000);
+    policy.mMaxInUse.mMemoryMb = pick(0, 1) == 0 ? 0 : pick(100'000, 1'500'000);
+  }
+  aFleet.SetSettings(aSettings);
+}
+
+// Submits random jobs of organisations whose limits change, while injecting random faults and
+// cancelling jobs; then lifts the limits and clears all faults. Returns the first violated
+// invariant, or an error if a job is not finished; empty on success.
+std::string RunLimitedScenario(std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  fleet_simulation fleet(6, aSeed);
+  work_settings settings;
+  settings.mVersion = 1;
+  settings.mQueues["urgent"] = { "pool", 0, 3, 1.5, milliseconds(250) };
+  settings.mQueues["batch"] = { "pool", 1, 3, 3, milliseconds(1'000) };
+  ChangeLimits(fleet, settings, random);
+  fleet.Run(milliseconds(500));
+  for (int i = 0; i < 24 && fleet.mViolations.empty(); ++i) {
+    fleet.Submit(RandomJob(i, random), milliseconds(200 + random() % 4'000));
+    if (random() % 3 == 0) {
+      fleet.Cancel(fmt::format("job{:03}", random() % static_cast<std::uint64_t>(i + 1)));
+    }
+    if (random() % 4 == 0) {
+      ChangeLimits(fleet, settings, random);
+    }
+    InjectFault(fleet, random);
+    fleet.Run(milliseconds(random() % 800));
+  }
+  ClearFaults(fleet);
+  fleet.Run(milliseconds(15'000));
+  fleet.SetSettings(settings);
+  fleet.Run(milliseconds(60'000));
+  if (!fleet.mViolations.empty()) {
+    return fleet.mViolations.front();
+  }
+  return fleet.AllFinished() ? std::string() : "a job is not finished";
+}
+
 // Submits random jobs while injecting random faults, then clears all faults. Returns the first
 // violated invariant, or an error if a job is not finished; empty on success.
 std::string RunRandomScenario(std::uint64_t aSeed)
@@ -140,3 +190,19 @@
     }
   }
 }
+
+// Guards against starts above the limit of an organisation, as seen from the workers: by runs that
+// the leader does not count, such as those of cancelled jobs after a change of leader, late starts
+// and runs on lost workers, and by limits that are lowered.
+BW_STORY("organisations stay within limits that change under random faults")
+{
+  BW_SECTION("no start brings an organisation above its limit, all jobs finish without limits")
+  {
+    BW_CHECK(rc::check([](std::uint64_t aSeed) {
+      const std::string violation = RunLimitedScenario(aSeed);
+      if (!violation.empty()) {
+        RC_FAIL(violation);
+      }
+    }));
+  }
+}
