An organisation above one limit starts nothing until its use falls

Cause: a task that needs nothing of the exceeded resource fitted below the limit, was recorded, and was dropped before its order since the organisation was above its limit: the record was written again in each pass. No start is allowed to leave an organisation above its limit.

Ruled out: letting such tasks start; the rule looks at what the organisation has running after the start.

Change: nothing fits below a limit that any resource exceeds. work_limits_test holds this, and the scenarios of the limits: ten times the usual load, unequal weights, a lowered limit, a leader lost between order and answer.

--- a/src/libwork/organisation_ledger.cpp
+++ b/src/libwork/organisation_ledger.cpp
@@ -32,6 +32,12 @@
   return static_cast<int>(std::min<std::int64_t>(fits, kUnlimited));
 }
 
+bool IsExceeded(const task_demand& aLeft)
+{
+  return std::ranges::any_of(kResources,
+                             [&](const resource& aEach) { return aEach.mAmount(aLeft) < 0; });
+}
+
 task_demand LeftOf(const task_demand& aLimit, const task_demand& aUsed)
 {
   return { aLimit.mAccelerators == 0 ? kUnlimited : aLimit.mAccelerators - aUsed.mAccelerators,
@@ -43,6 +49,9 @@
 
 int CountWithin(const task_demand& aLeft, const task_demand& aDemand)
 {
+  if (IsExceeded(aLeft)) {
+    return 0;
+  }
   int count = kUnlimited;
   for (const resource& each : kResources) {
     count = std::min(count, FitCount(each.mAmount(aLeft), each.mAmount(aDemand)));
@@ -124,9 +133,7 @@
 
 bool organisation_ledger::IsOverLimit(const std::string& aOrganisation) const
 {
-  const task_demand left = Left(aOrganisation);
-  return std::ranges::any_of(kResources,
-                             [&](const resource& aEach) { return aEach.mAmount(left) < 0; });
+  return IsExceeded(Left(aOrganisation));
 }
 
 double organisation_ledger::WeightedShare(const std::string& aOrganisation,
--- a/src/libwork/organisation_ledger.h
+++ b/src/libwork/organisation_ledger.h
@@ -58,7 +58,8 @@
   std::map<std::string, account> mAccounts; ///< of organisations that use anything
 };
 
-/// How many tasks of this demand fit into what is left of a limit.
+/// How many tasks of this demand fit into what is left of a limit; none while any resource is above
+/// its limit, also one that the tasks do not need.
 int CountWithin(const task_demand& aLeft, const task_demand& aDemand);
 
 /// Whether the limit leaves room for the step at all: for one task, or for all tasks of a gang.
--- /dev/null
+++ b/src/libwork/work_limits_test.cpp
@@ -0,0 +1,214 @@
+#include "testing/fleet_simulation.h"
+#include "testing/sample_jobs.h"
+
+#include "briarwind/testing.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <map>
+#include <optional>
+#include <variant>
+
+using namespace briarwind;
+using namespace briarwind::testing;
+
+namespace {
+
+work_settings LimitedSettings(const std::map<std::string, organisation_policy>& aPolicies)
+{
+  work_settings settings;
+  settings.mVersion = 1;
+  settings.mQueues["urgent"] = { "pool", 0, 3, 1.5, milliseconds(250) };
+  settings.mQueues["batch"] = { "pool", 1, 3, 3, milliseconds(1'000) };
+  settings.mOrganisations = aPolicies;
+  return settings;
+}
+
+organisation_policy Limit(int aAccelerators, double aWeight = 1)
+{
+  return { aWeight, { aAccelerators, 0, 0 } };
+}
+
+work_job JobOf(const std::string& aOrganisation, work_job aJob)
+{
+  aJob.mOrganisation = aOrganisation;
+  return aJob;
+}
+
+// One leader and workers `w` and `v`, whose reports the test writes.
+struct core_fixture
+{
+  work_core mCore;
+  instant mNow = instant() + std::chrono::hours(1);
+  store_revision mRevision = 10;
+  std::map<std::string, std::string> mRecords;
+
+  void Begin(std::int64_t aEpoch, const std::optional<work_settings>& aSettings)
+  {
+    mCore.BeginTerm(aEpoch, mNow);
+    if (aSettings) {
+      mCore.SetSettings(*aSettings, mNow);
+    }
+  }
+
+  void List(const std::vector<std::string>& aWorkers)
+  {
+    std::vector<registered_worker> workers;
+    std::ranges::transform(aWorkers, std::back_inserter(workers), Worker);
+    mCore.SetWorkers(workers, mNow);
+  }
+
+  void Report(const std::string& aWorker, const std::vector<run_id>& aRunning,
+              const std::vector<listed_end>& aEnds = {})
+  {
+    worker_report report;
+    report.mIncarnation = 1;
+    report.mEnds = aEnds;
+    for (const run_id& each : aRunning) {
+      report.mRunning.push_back({ each, {}, 10 });
+    }
+    mCore.OnReport(aWorker, report, mNow, mNow);
+  }
+
+  void Add(const work_job& aJob)
+  {
+    mCore.AddJob({ aJob, false, mRecords[aJob.mId], mRevision }, mNow, wall_time());
+  }
+
+  // Decides and stores; returns the start orders, and counts the writes in mWrites.
+  std::vector<start_run> Decide()
+  {
+    mNow += milliseconds(10);
+    mCore.Decide(mNow, wall_time());
+    for (progress_write& each : mCore.TakeWrites(16)) {
+      ++mWrites;
+      mRecords[each.mJob] = std::move(each.mValue);
+      mCore.OnWritten(each.mJob, ++mRevision, mNow);
+    }
+    std::vector<start_run> starts;
+    for (const work_action& each : mCore.TakeActions()) {
+      if (const auto* start = std::get_if<start_run>(&each)) {
+        starts.push_back(*start);
+      }
+    }
+    return starts;
+  }
+
+  int AcceleratorsInUse() const
+  {
+    const auto uses = mCore.OrganisationUse();
+    return uses.empty() ? 0 : uses.front().mInUse.mAccelerators;
+  }
+
+  int mWrites = 0;
+};
+
+} // namespace
+
+// Guards against starts above an organisation's limit, and against an organisation that takes the
+// share of others, on six workers with 48 accelerators.
+BW_STORY("organisations with limits and weights share a fleet")
+{
+  fleet_simulation fleet(6, 1);
+  fleet.Run(milliseconds(200));
+
+  BW_SECTION("one organisation at ten times its limit leaves room for others, and all its jobs end")
+  {
+    fleet.SetSettings(LimitedSettings({ { "o1", Limit(16) } }));
+    for (int i = 0; i < 40; ++i) {
+      fleet.Submit(JobOf("o1", Job(fmt::format("a{:02}", i), "batch", { Step(4, 1) })));
+    }
+    fleet.Run(milliseconds(500));
+    int live = 0;
+    for (int i = 0; i < 40; ++i) {
+      live += fleet.LiveRuns(fmt::format("a{:02}", i));
+    }
+    BW_EQUAL(16, live);
+    fleet.Submit(JobOf("o2", Job("b", "batch", { Step(32, 1) })));
+    fleet.Run(milliseconds(300));
+    BW_EQUAL(32, fleet.LiveRuns("b"));
+    fleet.Run(milliseconds(20'000));
+    BW_CHECK(fleet.AllFinished());
+  }
+  BW_SECTION("organisations with weights 1, 2 and 3 share full workers in this proportion")
+  {
+    fleet.SetSettings(
+      LimitedSettings({ { "o1", Limit(0, 1) }, { "o2", Limit(0, 2) }, { "o3", Limit(0, 3) } }));
+    // Runs of different lengths, so that capacity becomes free a little at a time.
+    for (int i = 0; i < 90; ++i) {
+      fleet.Submit(JobOf(fmt::format("o{}", 1 + i % 3),
+                         Job(fmt::format("a{:02}", i), "batch", { Step(4, 1) })),
+                   milliseconds(1'500 + 70 * (i % 11)));
+    }
+    fleet.Run(milliseconds(1'000));
+    // Averaged, since a job's four tasks end together.
+    constexpr int kSamples = 40;
+    std::array<int, 3> live{};
+    for (int sample = 0; sample < kSamples; ++sample) {
+      fleet.Run(milliseconds(100));
+      for (int i = 0; i < 90; ++i) {
+        live.at(static_cast<std::size_t>(i % 3)) += fleet.LiveRuns(fmt::format("a{:02}", i));
+      }
+    }
+    BW_CHECK(std::abs(live[0] - 8 * kSamples) <= 2 * kSamples);
+    BW_CHECK(std::abs(live[1] - 16 * kSamples) <= 2 * kSamples);
+    BW_CHECK(std::abs(live[2] - 24 * kSamples) <= 2 * kSamples);
+  }
+  BW_SECTION("a limit that is lowered far below use stops nothing and starts nothing until then")
+  {
+    fleet.SetSettings(LimitedSettings({ { "o1", Limit(40) } }));
+    fleet.Submit(JobOf("o1", Job("long", "batch", { Step(40, 1) })), milliseconds(20'000));
+    fleet.Run(milliseconds(500));
+    BW_EQUAL(40, fleet.LiveRuns("long"));
+    fleet.SetSettings(LimitedSettings({ { "o1", Limit(4) } }));
+    fleet.Submit(JobOf("o1", Job("next", "batch", { Step(8, 1) })));
+    fleet.Run(milliseconds(15'000));
+    BW_EQUAL(40, fleet.LiveRuns("long"));
+    BW_EQUAL(0, fleet.Starts("next"));
+    fleet.Run(milliseconds(6'000));
+    BW_EQUAL(4, fleet.LiveRuns("next"));
+    fleet.Run(milliseconds(5'000));
+    BW_CHECK(fleet.AllFinished());
+  }
+  BW_SECTION("a leader that is lost between order and answer leaves its starts counted")
+  {
+    fleet.SetSettings(LimitedSettings({ { "o1", Limit(16) } }));
+    fleet.mFaults.mDelayedOrder = 1;
+    fleet.Submit(JobOf("o1", Job("a", "batch", { Step(16, 1) })), milliseconds(5'000));
+    fleet.Run(milliseconds(50));
+    fleet.mFaults = {};
+    fleet.Cancel("a");
+    fleet.ChangeLeader();
+    fleet.Submit(JobOf("o1", Job("b", "batch", { Step(16, 1) })), milliseconds(5'000));
+    fleet.Run(milliseconds(40'000));
+    BW_EQUAL(16, fleet.Starts("b"));
+    BW_CHECK(fleet.AllFinished());
+  }
+  BW_CHECK(fleet.mViolations.empty());
+}
+
+// Guards against records that are written again and again: a task was placed since it needs nothing
+// of the exceeded resource, and dropped before its order since its organisation is above its limit.
+BW_STORY("an organisation is above its limit for one resource")
+{
+  core_fixture fixture;
+  fixture.Begin(5, LimitedSettings({ { "o1", Limit(8) } }));
+  fixture.List({ "w", "v" });
+  fixture.Report("w", {});
+  fixture.Report("v", {});
+  fixture.Add(Job("a", "batch", { Step(8, 1) }));
+  BW_EQUAL(std::size_t{ 8 }, fixture.Decide().size());
+  fixture.mCore.SetSettings(LimitedSettings({ { "o1", Limit(4) } }), fixture.mNow);
+  fixture.Add(Job("b", "batch", { Step(1, 0) }));
+  fixture.mWrites = 0;
+  BW_SECTION("a task that needs other resources is neither started nor recorded")
+  {
+    for (int i = 0; i < 10; ++i) {
+      BW_CHECK(fixture.Decide().empty());
+    }
+    BW_EQUAL(0, fixture.mWrites);
+  }
+}
