Orphans on a worker that left the registry count until their leases end

Cause: a worker without recorded runs was dropped from memory when the registry no longer listed it, and with it the use of its orphans, which may run until their leases have expired. On a listed worker that never answers again the use of orphans was never released.

Ruled out: waiting with all starts after a change of leader until each worker has reported.

Change: the worker is kept while it has orphans; those of a worker that does not answer are dropped once its leases and those of earlier leaders have expired.

Result: the section on orphans in work_limits_test fails before the change and passes after it.

--- a/src/libwork/work_limits.cpp
+++ b/src/libwork/work_limits.cpp
@@ -76,6 +76,18 @@
   }
 }
 
+// Orphans were started by an earlier leader. Its leases ended with the drift of the worker's clock
+// after this term began, unless this leader has extended the worker's lease for other runs.
+void work_core::state::DropExpiredOrphans(worker_entry& aWorker, instant aNow)
+{
+  const auto lease =
+    std::chrono::duration_cast<milliseconds>(mOptions.mMaxLease * mOptions.mClockDriftFactor);
+  if (!aWorker.mReachable && aNow >= std::max(aWorker.mLeasesExpireAt, mTermSince + lease)) {
+    aWorker.mOrphans.clear();
+    ReleaseOrphanUse(aWorker);
+  }
+}
+
 std::vector<int> work_core::state::TasksWithinLimit(const ready_unit& aUnit) const
 {
   std::vector<int> tasks = WaitingTasks(aUnit);
--- a/src/libwork/work_limits_test.cpp
+++ b/src/libwork/work_limits_test.cpp
@@ -190,6 +190,28 @@
   BW_CHECK(fleet.mViolations.empty());
 }
 
+// Guards against runs that the leader does not count: no record named them, or their worker was
+// dropped from memory while its leases had not expired.
+BW_STORY("runs without a task count against the limit of their organisation")
+{
+  const work_settings settings = LimitedSettings({ { "o1", Limit(4) } });
+  core_fixture fixture;
+  BW_SECTION("orphans count on a worker that left the registry until its leases have expired")
+  {
+    fixture.Begin(5, settings);
+    fixture.Add(Job("a", "batch", { Step(1, 4) }));
+    fixture.List({ "w", "v" });
+    fixture.Report("w", { run_id{ { "a", 0, 0, 0 }, 1 } });
+    fixture.Report("v", {});
+    BW_EQUAL(4, fixture.AcceleratorsInUse());
+    fixture.List({ "v" });
+    fixture.mCore.OnPollFailed("w", fixture.mNow);
+    BW_CHECK(fixture.Decide().empty());
+    fixture.mNow += milliseconds(11'000);
+    BW_EQUAL(std::size_t{ 1 }, fixture.Decide().size());
+  }
+}
+
 // Guards against records that are written again and again: a task was placed since it needs nothing
 // of the exceeded resource, and dropped before its order since its organisation is above its limit.
 BW_STORY("an organisation is above its limit for one resource")
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -331,6 +331,7 @@
     if (!worker.mReachable) {
       HandleExpiredLeases(id, worker, aNow);
     }
+    DropExpiredOrphans(worker, aNow);
     SendStops(worker, aNow);
     if (worker.mFailuresInRow > 0 && worker.mProbationUntil <= aNow) {
       ClearFailures(worker);
@@ -339,14 +340,9 @@
   const auto isUnused = [](const worker_entry& aWorker) {
     // Stored ends are acknowledged before the worker is removed, as long as it answers.
     const bool ackPending = aWorker.mAckDue && aWorker.mReachable;
-    return !aWorker.mListed && aWorker.mRuns.empty() && aWorker.mPendingEnds.empty() &&
-           !ackPending && aWorker.mClaimed == task_demand{};
+    return !aWorker.mListed && aWorker.mRuns.empty() && aWorker.mOrphans.empty() &&
+           aWorker.mPendingEnds.empty() && !ackPending && aWorker.mClaimed == task_demand{};
   };
-  for (auto& [id, worker] : mWorkers) {
-    if (isUnused(worker)) {
-      ReleaseOrphanUse(worker);
-    }
-  }
   std::erase_if(mWorkers, [&](const auto& aWorker) { return isUnused(aWorker.second); });
 }
 
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -100,8 +100,8 @@
   instant mFinishedAt;
   std::string mReason;                     ///< why the job failed or was cancelled
   std::set<std::string> mPenalisedWorkers; ///< workers quarantined for failures of the job
-  /// Runs that were being stopped when the job ended, with their workers. Stored, so that the next
-  /// leader counts them against the organisation's limit.
+  /// Runs that the job no longer needs and whose ends are not known, with their workers. Stored, so
+  /// that the next leader counts them against the organisation's limit.
   std::vector<std::pair<run_id, std::string>> mStoppingRuns;
   int mEvictions = 0;          ///< how often runs of the job were stopped for other jobs
   bool mWaitsForLimit = false; ///< its organisation's limit held tasks back in the last pass
@@ -308,6 +308,8 @@
   void RemoveClaim(worker_entry& aWorker, const job_entry& aJob, const work_step& aStep);
   void SetOrphanUse(worker_entry& aWorker);
   void ReleaseOrphanUse(worker_entry& aWorker);
+  /// Drops the orphans of a worker that does not answer once their leases have expired.
+  void DropExpiredOrphans(worker_entry& aWorker, instant aNow);
   /// The waiting tasks that the organisation's limit lets start now; of a gang all or none.
   std::vector<int> TasksWithinLimit(const ready_unit& aUnit) const;
   void RecordLimitWait(ready_unit& aUnit, bool aWaits);
