The next leader counts members of a finished gang and early cancellations

Cause: a gang is done when one member is done, and its record then names no worker of the others, which may run for a while; the next leader counted them only after their worker had reported. A job that was cancelled before a leader had read the operators' settings was stored without its stopping runs, since no limit was known.

Ruled out: writing the record again when the last stopping run has ended: a row without a run ends with the worker's first report, or with the leases.

Change: the rows of stopping runs hold each run that no task of the job needs, in records of unfinished jobs, too, and are kept while no settings are known. A run that ended is no longer among them.

--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -135,6 +135,7 @@
       step->mLastFailedRun = each.mRun;
     }
   }
+  RestoreStoppingRuns(aJob, record.mStopping, aNow);
   for (const progress_task& each : record.mTasks) {
     task_entry* task = FindTask(each.mTask);
     if (task == nullptr || task->mPhase == task_phase::kDone) {
@@ -151,8 +152,8 @@
   }
 }
 
-// A finished job has no tasks any more, so the next report of the worker leads to a stop order or
-// to the run's removal. Until then it counts against the organisation's limit.
+// No task of the job needs the runs, so the next report of the worker leads to a stop order or to
+// the run's removal. Until then they count against the organisation's limit.
 void work_core::state::RestoreStoppingRuns(job_entry& aJob,
                                            const std::vector<progress_task>& aStopping,
                                            instant aNow)
@@ -190,17 +191,25 @@
   worker.mReachable = false;
 }
 
-// Only organisations with a limit need the record.
+// Members of a gang are not needed any more once one of them is done, and no run is once the job
+// has ended. Only organisations with a limit need the record. While no settings have been read, any
+// organisation may have one.
 void work_core::state::RecordStoppingRuns(job_entry& aJob)
 {
-  if (!mLedger.HasLimit(aJob.mSpec.mOrganisation)) {
+  aJob.mStoppingRuns.clear();
+  if (mSettings.mVersion > 0 && !mLedger.HasLimit(aJob.mSpec.mOrganisation)) {
     return;
   }
   for (const auto& [id, worker] : mWorkers) {
     const auto first = worker.mRuns.lower_bound(run_id{ { aJob.mSpec.mId, 0, 0, 0 }, 0 });
-    for (auto each = first;
-         each != worker.mRuns.end() && each->first.mTask.mJob == aJob.mSpec.mId; ++each) {
-      aJob.mStoppingRuns.emplace_back(each->first, id);
+    for (auto each = first; each != worker.mRuns.end() && each->first.mTask.mJob == aJob.mSpec.mId;
+         ++each) {
+      const task_entry* task = FindTask(each->first.mTask);
+      const bool needed =
+        task != nullptr && task->mPhase == task_phase::kLive && task->mRun == each->first.mRun;
+      if (!needed) {
+        aJob.mStoppingRuns.emplace_back(each->first, id);
+      }
     }
   }
 }
@@ -213,11 +222,11 @@
   }
   ReleaseClaims(aJob);
   StopJobRuns(aJob, ToString(aState), aNow);
-  RecordStoppingRuns(aJob);
   aJob.mState = aState;
   aJob.mReason = aReason;
   aJob.mFinishedAt = aNow;
   aJob.mOccurrences.clear();
+  RecordStoppingRuns(aJob);
   MarkChanged(aJob);
   EmitEvent(work_event_kind::kJobOver, aJob.mSpec.mId, {}, {},
             aReason.empty() ? std::string(ToString(aState)) : aReason,
--- a/src/libwork/work_limits_test.cpp
+++ b/src/libwork/work_limits_test.cpp
@@ -210,6 +210,46 @@
     fixture.mNow += milliseconds(11'000);
     BW_EQUAL(std::size_t{ 1 }, fixture.Decide().size());
   }
+  BW_SECTION("members of a gang that is done count at the next leader until their ends are listed")
+  {
+    work_step gang = Step(2, 2);
+    gang.mGang = true;
+    work_step second = Step(2, 2);
+    second.mAfter = { 0 };
+    const work_job job = Job("a", "batch", { gang, second });
+    fixture.Begin(5, settings);
+    fixture.List({ "w" });
+    fixture.Report("w", {});
+    fixture.Add(job);
+    const std::vector<start_run> starts = fixture.Decide();
+    BW_EQUAL(std::size_t{ 2 }, starts.size());
+    for (const start_run& each : starts) {
+      fixture.mCore.OnStarted(each, start_outcome::kStarted, fixture.mNow, fixture.mNow);
+    }
+    fixture.mNow += milliseconds(500);
+    fixture.Report("w", { starts[1].mRun }, { { 1, starts[0].mRun, run_end::kDone, {} } });
+    BW_EQUAL(std::size_t{ 1 }, fixture.Decide().size());
+    // The next leader has reached worker `v` but not `w`.
+    fixture.Begin(7, settings);
+    fixture.Add(job);
+    fixture.List({ "w", "v" });
+    fixture.Report("v", {});
+    BW_EQUAL(4, fixture.AcceleratorsInUse());
+    BW_CHECK(fixture.Decide().empty());
+  }
+  BW_SECTION("runs of a job that is cancelled before a leader has read any settings are stored")
+  {
+    const work_job job = Job("a", "batch", { Step(1, 4) });
+    fixture.mRecords["a"] =
+      R"({"state":"running","epoch":3,"change":2,"next":1,"done":[],"tasks":[[0,0,0,1,0,"w",""]]})";
+    fixture.Begin(5, std::nullopt);
+    fixture.Add(job);
+    fixture.mCore.CancelJob("a", fixture.mNow);
+    fixture.Decide();
+    fixture.Begin(7, settings);
+    fixture.Add(job);
+    BW_EQUAL(4, fixture.AcceleratorsInUse());
+  }
 }
 
 // Guards against records that are written again and again: a task was placed since it needs nothing
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -28,6 +28,9 @@
     mLedger.RemoveRun(found->second.mOrganisation, found->second.mLimitedDemand);
     aWorker.mRuns.erase(found);
     mReplan = true;
+    if (job_entry* job = FindJob(aRun.mTask.mJob)) {
+      std::erase(job->mStoppingRuns, std::pair(aRun, aWorker.mInfo.mId));
+    }
   }
 }
 
@@ -122,6 +125,9 @@
       ++step->mDone;
     }
   }
+  if (gang) {
+    RecordStoppingRuns(*job);
+  }
   MarkChanged(*job);
   if (step->IsDone()) {
     FinishJobIfDone(*job, aNow);
