A repeated submission is not refused for a limit that was lowered since

Cause: a job above its organisation's limit was refused before the store was asked. A caller that repeats a submission after an unclear answer could be told by a 429 that its stored job never runs.

Ruled out: asking the store for each submission; only those above the limit are looked up.

Change: a job that is stored is answered as accepted, and as not run while the store cannot be read. The refusal names the step and the resource.

--- a/src/libcontrol/caller_service.cpp
+++ b/src/libcontrol/caller_service.cpp
@@ -6,7 +6,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <array>
 
 namespace briarwind {
@@ -56,26 +55,40 @@
   aJob.mOrganisation = aCall.mOrganisation;
   aJob.mPolicy = aCall.mRoute.mPolicy;
   aJob.mAccepted = std::chrono::system_clock::now();
-  if (const int step = StepOverLimit(aJob); step >= 0) {
-    RecordRefusal(aJob.mId, "over the organisation's limit");
-    return { intake_outcome::kOverLimit,
-             fmt::format("steps.{}: needs more than the organisation's limit", step) };
-  }
-  const intake_answer answer = mIntake.Accept(aJob, aDeadline);
+  const std::string reason = ReasonOverLimit(aJob);
+  const intake_answer answer =
+    reason.empty() ? mIntake.Accept(aJob, aDeadline) : RefuseOverLimit(aJob.mId, reason, aDeadline);
   RecordCall("submit", aJob.mId, answer, begun);
   return answer;
 }
 
-int caller_service::StepOverLimit(const work_job& aJob) const
+std::string caller_service::ReasonOverLimit(const work_job& aJob) const
 {
   const auto& policies = mSettings.Settings().mOrganisations;
   const auto policy = policies.find(aJob.mOrganisation);
   if (policy == policies.end()) {
-    return -1;
+    return {};
+  }
+  for (std::size_t i = 0; i < aJob.mSteps.size(); ++i) {
+    const std::string_view resource = ResourceOverLimit(aJob.mSteps[i], policy->second);
+    if (!resource.empty()) {
+      return fmt::format("steps.{}: needs more {} than the limit of its organisation", i, resource);
+    }
   }
-  const auto over = std::ranges::find_if(
-    aJob.mSteps, [&](const work_step& aStep) { return !CanFitLimit(aStep, policy->second); });
-  return over == aJob.mSteps.end() ? -1 : static_cast<int>(over - aJob.mSteps.begin());
+  return {};
+}
+
+// A repetition of a call that stored the job must not be refused, also when the limit was lowered
+// in the meantime: the caller would take the job for one that never runs.
+intake_answer caller_service::RefuseOverLimit(const std::string& aJob, const std::string& aReason,
+                                              instant aDeadline)
+{
+  const state_answer stored = mIntake.State(aJob, aDeadline);
+  if (!stored.mIsKnown) {
+    return { intake_outcome::kNotRun, "store away" };
+  }
+  return stored.mState ? intake_answer{ intake_outcome::kAccepted, {} }
+                       : intake_answer{ intake_outcome::kOverLimit, aReason };
 }
 
 intake_answer caller_service::Cancel(const admitted_call& aCall, instant aDeadline)
@@ -147,10 +160,13 @@
                                      Field("reason", aAnswer.mReason), time, settings });
       return;
     case intake_outcome::kNotRun:
+      RecordRefusal(aJob, aAnswer.mReason);
+      return;
     case intake_outcome::kUnknownJob:
+      RecordRefusal(aJob, "unknown job");
+      return;
     case intake_outcome::kOverLimit:
-      RecordRefusal(aJob,
-                    aAnswer.mOutcome == intake_outcome::kNotRun ? aAnswer.mReason : "unknown job");
+      RecordRefusal(aJob, "over the organisation's limit");
       return;
   }
 }
--- a/src/libcontrol/caller_service.h
+++ b/src/libcontrol/caller_service.h
@@ -68,8 +68,10 @@
   void RecordRefusal(std::string_view aJob, std::string_view aReason);
 
 private:
-  /// Index of the first step that can never run below the organisation's limit, or -1.
-  int StepOverLimit(const work_job& aJob) const;
+  /// Names the first step that can never run below the organisation's limit; empty if all can.
+  std::string ReasonOverLimit(const work_job& aJob) const;
+  intake_answer RefuseOverLimit(const std::string& aJob, const std::string& aReason,
+                                instant aDeadline);
   state_answer StateFromLeader(const std::string& aJob, instant aDeadline);
   void RecordCall(std::string_view aCall, const std::string& aJob, const intake_answer& aAnswer,
                   instant aBegun);
--- a/src/libwork/organisation_ledger.cpp
+++ b/src/libwork/organisation_ledger.cpp
@@ -159,10 +159,14 @@
     ->mName;
 }
 
-bool CanFitLimit(const work_step& aStep, const organisation_policy& aPolicy)
+std::string_view ResourceOverLimit(const work_step& aStep, const organisation_policy& aPolicy)
 {
   const int needed = aStep.mGang ? aStep.mCount : 1;
-  return CountWithin(LeftOf(aPolicy.mMaxInUse, {}), aStep.mDemand) >= needed;
+  const task_demand left = LeftOf(aPolicy.mMaxInUse, {});
+  const auto over = std::ranges::find_if(kResources, [&](const resource& aEach) {
+    return FitCount(aEach.mAmount(left), aEach.mAmount(aStep.mDemand)) < needed;
+  });
+  return over == kResources.end() ? std::string_view() : over->mName;
 }
 
 } // namespace briarwind
--- a/src/libwork/organisation_ledger.h
+++ b/src/libwork/organisation_ledger.h
@@ -62,7 +62,8 @@
 /// its limit, also one that the tasks do not need.
 int CountWithin(const task_demand& aLeft, const task_demand& aDemand);
 
-/// Whether the limit leaves room for the step at all: for one task, or for all tasks of a gang.
-bool CanFitLimit(const work_step& aStep, const organisation_policy& aPolicy);
+/// Name of the first resource of which the step needs more than the limit, for one task or for all
+/// tasks of a gang; empty when the step can run.
+std::string_view ResourceOverLimit(const work_step& aStep, const organisation_policy& aPolicy);
 
 } // namespace briarwind
