Tests of the configured limits and of final records

Cause: no test read a weight or a limit from the operators' configuration, or a final record with stopping runs.

--- a/src/libwork/work_record_test.cpp
+++ b/src/libwork/work_record_test.cpp
@@ -59,3 +59,61 @@
     BW_EQUAL(1, record.value().mTasks[1].mFailures);
   }
 }
+
+// Guards against a next leader that starts work above a limit since the record of a cancelled job
+// names none of the runs that are still being stopped.
+BW_STORY("the final record of a job whose runs are being stopped")
+{
+  work_core core;
+  const instant now = instant() + std::chrono::hours(1);
+  work_settings settings = BatchSettings();
+  settings.mVersion = 1;
+  settings.mOrganisations["o1"].mMaxInUse.mAccelerators = 4;
+  const work_job job = Job("a", "batch", { Step(2, 1) });
+  const auto cancel = [&] {
+    core.BeginTerm(5, now);
+    core.SetSettings(settings, now);
+    constexpr const char* kRunning =
+      R"({"state":"running","epoch":3,"change":9,"next":1,"done":[],)"
+      R"("tasks":[[0,0,0,2,0,"w",""],[0,0,1,1,0,"v",""]]})";
+    core.AddJob({ job, false, kRunning, 7 }, now, wall_time());
+    core.CancelJob("a", now);
+    return core.TakeWrites(1).front().mValue;
+  };
+  BW_SECTION("names them and their workers, and no task")
+  {
+    const std::string written = cancel();
+    const auto record = ToIoResult([&] { return ParseProgress(written, "a"); });
+    BW_CHECK(record.value().mState == work_state::kCancelled);
+    BW_CHECK(record.value().mTasks.empty());
+    BW_EQUAL(std::size_t{ 2 }, record.value().mStopping.size());
+    BW_EQUAL(std::string("v"), record.value().mStopping[0].mWorker);
+    BW_EQUAL(std::string("w"), record.value().mStopping[1].mWorker);
+    BW_EQUAL(run_number{ 2 }, record.value().mStopping[1].mRun);
+  }
+  BW_SECTION("makes the next leader count them, and start none of them")
+  {
+    const std::string written = cancel();
+    core.BeginTerm(7, now);
+    core.SetSettings(settings, now);
+    core.AddJob({ job, true, written, 8 }, now, wall_time());
+    core.Decide(now, wall_time());
+    BW_EQUAL(2, core.OrganisationUse().front().mInUse.mAccelerators);
+    BW_CHECK(core.TakeWrites(1).empty());
+  }
+  BW_SECTION("names none where the organisation has no limit, as the former version writes it")
+  {
+    settings.mOrganisations.clear();
+    BW_CHECK(cancel().find("stopping") == std::string::npos);
+  }
+  BW_SECTION("is read without them from the former version")
+  {
+    constexpr const char* kFormer =
+      R"({"state":"cancelled","epoch":3,"change":9,"next":1,"done":[],"tasks":[]})";
+    core.BeginTerm(7, now);
+    core.SetSettings(settings, now);
+    core.AddJob({ job, true, kFormer, 8 }, now, wall_time());
+    BW_CHECK(core.State("a") == work_state::kCancelled);
+    BW_EQUAL(0, core.OrganisationUse().front().mInUse.mAccelerators);
+  }
+}
