Jobs beyond the rate of an organisation are found by a token bucket

Cause: a job counted as beyond the rate when the second before its acceptance held as many other jobs, those beyond the rate included. An organisation that submits more than its weight all the time had no job within its rate after the first second; and a weight below one allowed one job a second.

Ruled out: a window that counts only jobs within the rate, which allows one job a second for weights below one, too.

Change: one bucket an organisation, filled by its weight a second, gone through in the order of acceptance.

--- a/src/libwork/queue_order.cpp
+++ b/src/libwork/queue_order.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::chrono::seconds kRateWindow{ 1 };
 // Acceptances kept of each organisation. At a hundred jobs a second, ten times what the whole fleet
 // is designed for in a burst, they cover the jobs that may still wait for their first decision.
 constexpr std::size_t kMaxRemembered = 1'000;
@@ -88,25 +87,47 @@
   return std::make_unique<priority_order>(aUnits);
 }
 
-void acceptance_rate::Record(const std::string& aOrganisation, wall_time aAccepted)
+void acceptance_rate::Record(const std::string& aOrganisation, wall_time aAccepted,
+                             const std::string& aJob)
 {
-  std::deque<wall_time>& times = mAccepted[aOrganisation];
-  times.insert(std::ranges::upper_bound(times, aAccepted), aAccepted);
-  if (times.size() > kMaxRemembered) {
-    times.pop_front();
+  history& jobs = mHistories[aOrganisation];
+  jobs.mIsWithin.emplace(std::pair(aAccepted, aJob), true);
+  jobs.mPerSecond = 0;
+  if (jobs.mIsWithin.size() > kMaxRemembered) {
+    jobs.mIsWithin.erase(jobs.mIsWithin.begin());
   }
 }
 
 bool acceptance_rate::IsWithin(const std::string& aOrganisation, wall_time aAccepted,
-                               double aPerSecond) const
+                               const std::string& aJob, double aPerSecond)
 {
-  const auto found = mAccepted.find(aOrganisation);
-  if (found == mAccepted.end()) {
+  const auto found = mHistories.find(aOrganisation);
+  if (found == mHistories.end()) {
     return true;
   }
-  const auto first = std::ranges::upper_bound(found->second, aAccepted - kRateWindow);
-  const auto last = std::ranges::lower_bound(found->second, aAccepted);
-  return static_cast<double>(std::distance(first, last)) < aPerSecond;
+  if (found->second.mPerSecond != aPerSecond) {
+    FillBucket(found->second, aPerSecond);
+  }
+  const auto job = found->second.mIsWithin.find(std::pair(aAccepted, aJob));
+  return job == found->second.mIsWithin.end() || job->second;
+}
+
+// The bucket holds one second's tokens, and at least the one that a job takes. Jobs may be recorded
+// in any order after a change of leader, so all are gone through again.
+void acceptance_rate::FillBucket(history& aHistory, double aPerSecond)
+{
+  const double capacity = std::max(aPerSecond, 1.0);
+  double tokens = capacity;
+  wall_time last =
+    aHistory.mIsWithin.empty() ? wall_time() : aHistory.mIsWithin.begin()->first.first;
+  for (auto& [job, isWithin] : aHistory.mIsWithin) {
+    const std::chrono::duration<double> passed = job.first - last;
+    tokens = std::min(capacity, tokens + aPerSecond * passed.count());
+    last = job.first;
+    isWithin = tokens >= 1;
+    tokens -= isWithin ? 1 : 0;
+  }
+  aHistory.mPerSecond = aPerSecond;
 }
 
 } // namespace briarwind
--- a/src/libwork/queue_order.h
+++ b/src/libwork/queue_order.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace briarwind {
@@ -31,17 +32,28 @@
                                           const organisation_ledger& aLedger,
                                           const task_demand& aTotal);
 
-/// Tells which of an organisation's jobs were accepted beyond its rate.
+/// Tells which of an organisation's jobs were accepted beyond its rate, by a token bucket in the
+/// order of acceptance.
 class acceptance_rate
 {
 public:
-  void Record(const std::string& aOrganisation, wall_time aAccepted);
-  /// Whether fewer than aPerSecond other jobs of the organisation were accepted in the second
-  /// before.
-  bool IsWithin(const std::string& aOrganisation, wall_time aAccepted, double aPerSecond) const;
+  void Record(const std::string& aOrganisation, wall_time aAccepted, const std::string& aJob);
+  /// Whether the job was accepted within aPerSecond jobs a second. Jobs beyond the rate take
+  /// nothing from the rate of those after them. Jobs that are not remembered any more count as
+  /// within.
+  bool IsWithin(const std::string& aOrganisation, wall_time aAccepted, const std::string& aJob,
+                double aPerSecond);
 
 private:
-  std::map<std::string, std::deque<wall_time>> mAccepted; ///< sorted
+  struct history
+  {
+    std::map<std::pair<wall_time, std::string>, bool> mIsWithin; ///< by acceptance
+    double mPerSecond = 0; ///< rate that mIsWithin was determined by; 0: not determined
+  };
+
+  static void FillBucket(history& aHistory, double aPerSecond);
+
+  std::map<std::string, history> mHistories;
 };
 
 } // namespace briarwind
--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -126,7 +126,7 @@
     job.mSpec = aJob.mJob;
     job.mAcceptedRevision = aJob.mAcceptedRevision;
     job.mAddedAt = aNow;
-    mState->mAcceptances.Record(job.mSpec.mOrganisation, job.mSpec.mAccepted);
+    mState->mAcceptances.Record(job.mSpec.mOrganisation, job.mSpec.mAccepted, job.mSpec.mId);
     mState->RestoreJob(job, aJob, aNow);
     mState->EmitEvent(work_event_kind::kJobKnown, job.mSpec.mId, {}, {}, job.mSpec.mQueue,
                       std::chrono::duration_cast<milliseconds>(aWallNow - job.mSpec.mAccepted));
--- a/src/libwork/work_limits.cpp
+++ b/src/libwork/work_limits.cpp
@@ -165,11 +165,12 @@
 }
 
 // After its objective a job competes like any other of its rank, so that it is served at last.
-bool work_core::state::IsBeyondRate(const job_entry& aJob, instant aObjective, instant aNow) const
+bool work_core::state::IsBeyondRate(const job_entry& aJob, instant aObjective, instant aNow)
 {
   const std::string& organisation = aJob.mSpec.mOrganisation;
   return mSettings.mOrganisations.contains(organisation) && aNow < aObjective &&
-         !mAcceptances.IsWithin(organisation, aJob.mSpec.mAccepted, mLedger.Weight(organisation));
+         !mAcceptances.IsWithin(organisation, aJob.mSpec.mAccepted, aJob.mSpec.mId,
+                                mLedger.Weight(organisation));
 }
 
 } // namespace briarwind
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -316,7 +316,7 @@
   /// Stops work of the unit's own organisation that is worth less, so that the unit fits below the
   /// organisation's limit.
   void StopOwnWorkForLimit(const ready_unit& aUnit, instant aNow);
-  bool IsBeyondRate(const job_entry& aJob, instant aObjective, instant aNow) const;
+  bool IsBeyondRate(const job_entry& aJob, instant aObjective, instant aNow);
 
   // work_schedule.cpp
   void PlaceAll(instant aNow);
