Benchmark of the decision pass

Cause: the time of a decision with many organisations, running tasks and waiting jobs was not known.

Change: `briarwind-bench decision [WAITING-JOBS]`: 40 organisations, 1,200 workers, 32,000 running tasks and 100 to 20,000 waiting jobs of one accelerator each, with and without limits; 20 passes a size.

The time goes into testing each worker (IsEligible, FitCount) for each waiting unit, although none has room.

--- a/src/bench/benchmark.h
+++ b/src/bench/benchmark.h
@@ -29,4 +29,8 @@
 /// when it is given an argument.
 int RunRoutingBenchmark(std::vector<std::string> aArguments);
 
+/// Measures the time of a decision pass of work_core with 40 organisations and 32,000 running
+/// tasks, for growing numbers of waiting jobs or for the one given as an argument.
+int RunDecisionBenchmark(std::vector<std::string> aArguments);
+
 } // namespace briarwind::bench
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -13,6 +13,8 @@
     briarwind::bench::RunFreshnessBenchmark },
   { "routing", "instance selection under faults and overload",
     briarwind::bench::RunRoutingBenchmark },
+  { "decision", "time of a decision pass of the step core on a full fleet",
+    briarwind::bench::RunDecisionBenchmark },
 };
 
 constexpr int kUsageExit = 2;
