--- a/src/libwork/work_limits.cpp
+++ b/src/libwork/work_limits.cpp
@@ -76,6 +76,18 @@
   }
 }
 
+// Orphans were started by an earlier leader. Its leases ended with the drift of the worker's clock
+// after this term began, unless this leader has extended the worker's lease for other runs.
+void work_core::state::DropExpiredOrphans(worker_entry& aWorker, instant aNow)
+{
+  const auto lease =
+    std::chrono::duration_cast<milliseconds>(mOptions.mMaxLease * mOptions.mClockDriftFactor);
+  if (!aWorker.mReachable && aNow >= std::max(aWorker.mLeasesExpireAt, mTermSince + lease)) {
+    aWorker.mOrphans.clear();
+    ReleaseOrphanUse(aWorker);
+  }
+}
+
 std::vector<int> work_core::state::TasksWithinLimit(const ready_unit& aUnit) const
 {
   std::vector<int> tasks = WaitingTasks(aUnit);
@@ -153,11 +165,12 @@
 }
 
 // After its objective a job competes like any other of its rank, so that it is served at last.
-bool work_core::state::IsBeyondRate(const job_entry& aJob, instant aObjective, instant aNow) const
+bool work_core::state::IsBeyondRate(const job_entry& aJob, instant aObjective, instant aNow)
 {
   const std::string& organisation = aJob.mSpec.mOrganisation;
   return mSettings.mOrganisations.contains(organisation) && aNow < aObjective &&
-         !mAcceptances.IsWithin(organisation, aJob.mSpec.mAccepted, mLedger.Weight(organisation));
+         !mAcceptances.IsWithin(organisation, aJob.mSpec.mAccepted, aJob.mSpec.mId,
+                                mLedger.Weight(organisation));
 }
 
 } // namespace briarwind
