Workers' rates are taken only from runs that give evidence

Cause: MeasureRate compared every run that is no gang's with its own best rate.

Ruled out: quarantine for stalls, which a run at 100 percent never meets; the limit of tasks per worker.

Change: long-running tasks and runs at 100 percent are not measured; runs that this leader did not start from the beginning are measured after one measurement, since their percentage may jump to that of the checkpoint. The simulated worker reports startups and restores.

Result: libwork.work_health_test "runs whose percentage says nothing about their worker do not make it avoided" failed before at its first section and passes; the other stories of the file pass.

--- a/src/libwork/testing/fleet_simulation.cpp
+++ b/src/libwork/testing/fleet_simulation.cpp
@@ -254,6 +254,10 @@
   if (outcome == start_outcome::kStarted && !known) {
     CheckStart(aOrder, aWorker);
     ++worker.mStarted;
+    const work_job& job = mJobs.at(aOrder.mRun.mTask.mJob);
+    if (job.mSteps.at(static_cast<std::size_t>(aOrder.mRun.mTask.mStep)).mLongRunning) {
+      worker.mRuns[aOrder.mRun].mStartup = mStartup;
+    }
     ++mStarts[aOrder.mRun.mTask.mJob];
     if (mFailingJobs.contains(aOrder.mRun.mTask.mJob)) {
       worker.mRuns[aOrder.mRun].mFails = true;
--- a/src/libwork/testing/fleet_simulation.h
+++ b/src/libwork/testing/fleet_simulation.h
@@ -57,6 +57,8 @@
   /// Workers that the placement advisor approves for any step, and the number of requests to it.
   std::set<std::string> mApprovedWorkers;
   int mAdviceRequests = 0;
+  /// Time from the start of a long-running task until it is at work.
+  milliseconds mStartup{ 300 };
 
 private:
   struct leader
--- a/src/libwork/testing/simulated_worker.cpp
+++ b/src/libwork/testing/simulated_worker.cpp
@@ -43,7 +43,7 @@
     return start_outcome::kLate;
   }
   mLeaseUntil = std::max(mLeaseUntil, std::min(aUntil, Clock(aNow) + kMaxLease));
-  mRuns[aRun] = { aWork, aWork, {}, false, mFailsAll };
+  mRuns[aRun] = { aWork, aWork, {}, false, mFailsAll, milliseconds{ 0 }, 0, milliseconds{ 0 } };
   return start_outcome::kStarted;
 }
 
@@ -62,6 +62,20 @@
   return stop_outcome::kStopping;
 }
 
+int simulated_worker::Percent(const live_run& aRun) const
+{
+  const milliseconds ran = aRun.mTotal - aRun.mLeft;
+  if (aRun.mStartup.count() == 0) {
+    return ran < aRun.mRestore
+             ? 0
+             : aRun.mFromPercent + static_cast<int>((100 - aRun.mFromPercent) * ran / aRun.mTotal);
+  }
+  if (ran >= aRun.mStartup) {
+    return 100;
+  }
+  return mShowsStartup ? static_cast<int>(100 * ran / aRun.mStartup) : 0;
+}
+
 std::optional<worker_report> simulated_worker::Poll(const poll_plan& aPlan, std::int64_t aEpoch,
                                                     instant aNow)
 {
@@ -77,8 +91,7 @@
   report.mIncarnation = mInfo.mIncarnation;
   report.mClock = Clock(aNow);
   for (const auto& [id, live] : mRuns) {
-    const int percent = static_cast<int>(100 * (live.mTotal - live.mLeft) / live.mTotal);
-    report.mRunning.push_back({ id, {}, percent });
+    report.mRunning.push_back({ id, {}, Percent(live) });
   }
   report.mEnds = mEnds;
   return report;
--- a/src/libwork/testing/simulated_worker.h
+++ b/src/libwork/testing/simulated_worker.h
@@ -33,6 +33,10 @@
     instant mStoppedAt;
     bool mStopping = false;
     bool mFails = false;
+    /// Of a long-running task: it reports 100 percent from this time on; 0: an ordinary task.
+    milliseconds mStartup{ 0 };
+    int mFromPercent = 0;       ///< percentage of the checkpoint that it was resumed from
+    milliseconds mRestore{ 0 }; ///< it reports 0 percent until it has read the checkpoint
   };
 
   registered_worker mInfo;
@@ -43,12 +47,14 @@
   std::set<std::int64_t> mExpiredEnds;
   bool mFailsAll = false;
   bool mStalled = false;
-  int mSlowdown = 1; ///< factor by which the run times are multiplied
-  int mStarted = 0;  ///< number of runs started on the worker
+  bool mShowsStartup = true; ///< long-running tasks report a rising percentage during startup
+  int mSlowdown = 1;         ///< factor by which the run times are multiplied
+  int mStarted = 0;          ///< number of runs started on the worker
 
   milliseconds Clock(instant aNow) const;
 
 private:
+  int Percent(const live_run& aRun) const;
   void End(const run_id& aRun, run_end aHow);
   /// Returns how the run ends at this time, or nullopt while it continues.
   std::optional<run_end> AdvanceRun(live_run& aRun, milliseconds aPassed, instant aNow) const;
--- a/src/libwork/work_health.cpp
+++ b/src/libwork/work_health.cpp
@@ -1,6 +1,7 @@
 #include "work_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace briarwind {
 
@@ -14,6 +15,7 @@
 // run was tried there or not: periods in which a worker fails all its runs last 4 to 8 s.
 constexpr milliseconds kProbation{ 5'000 };
 
+constexpr int kCompletePercent = 100;
 // A progress rate is measured over at least this time: a poll and a little more.
 constexpr milliseconds kRateWindow{ 1'000 };
 // A rate is compared only if the run should have gained this many percent by then, since
@@ -75,12 +77,15 @@
 
 // A run whose progress rate drops to a fraction of its own best rate shows that its worker turned
 // slow. The declared run time can't show this, since it is far off. Gangs are not measured: each
-// member is as slow as the slowest one, whichever worker that is on. The rate is measured on the
-// worker's clock, since reports may arrive late.
+// member is as slow as the slowest one, whichever worker that is on. Nor are long-running tasks,
+// whose percentage shows their startup and then stays at 100. A resumed run is measured from its
+// second measurement on: its percentage may jump to that of its checkpoint while it is restored. A
+// run at 100 percent has no progress left to measure. The rate is measured on the worker's clock,
+// since reports may arrive late.
 void work_core::state::MeasureRate(worker_entry& aWorker, run_entry& aRun, int aPercent,
                                    instant aNow)
 {
-  if (aRun.mGang) {
+  if (aRun.mGang || aRun.mLongRunning || aPercent >= kCompletePercent) {
     return;
   }
   const milliseconds clock = aWorker.mInfo.mClock;
@@ -93,6 +98,11 @@
   if (elapsed < kRateWindow) {
     return;
   }
+  if (!std::exchange(aRun.mIsRateSettled, true) && !aRun.mFromStart) {
+    aRun.mRatePercent = aPercent;
+    aRun.mRateClock = clock;
+    return;
+  }
   const double rate = (aPercent - aRun.mRatePercent) / elapsed.count();
   const bool comparable = aRun.mBestRate * elapsed.count() >= kMinExpectedPercent;
   if (comparable && rate < kSlowRateFraction * aRun.mBestRate) {
--- a/src/libwork/work_health_test.cpp
+++ b/src/libwork/work_health_test.cpp
@@ -106,3 +106,55 @@
   }
   BW_CHECK(fleet.mViolations.empty());
 }
+
+// Guards against keeping new work away from healthy workers because of runs whose percentage does
+// not show how fast the worker is.
+BW_STORY("runs whose percentage says nothing about their worker do not make it avoided")
+{
+  fleet_simulation fleet(4, 1);
+  fleet.Run(milliseconds(200));
+  work_step spread = Step(4, 1);
+  spread.mPerWorkerLimit = 1;
+  const auto isFree = [&] {
+    fleet.Submit(Gang("b", "batch", 4, 4), milliseconds(500));
+    fleet.Run(milliseconds(900));
+    return fleet.StoredState("b") == work_state::kCompleted;
+  };
+
+  BW_SECTION("long-running tasks that report a rising percentage during startup")
+  {
+    fleet.mStartup = milliseconds(1'500);
+    spread.mLongRunning = true;
+    fleet.Submit(Job("a", "batch", { spread }), milliseconds(3'600'000));
+    fleet.Run(milliseconds(4'000));
+    BW_CHECK(isFree());
+  }
+  BW_SECTION("long-running tasks that report 0, or nothing, during startup")
+  {
+    fleet.mStartup = milliseconds(700);
+    for (int i = 0; i < fleet.WorkerCount(); ++i) {
+      fleet.Worker(i).mShowsStartup = false;
+    }
+    spread.mLongRunning = true;
+    fleet.Submit(Job("a", "batch", { spread }), milliseconds(3'600'000));
+    fleet.Run(milliseconds(4'000));
+    BW_CHECK(isFree());
+  }
+  BW_SECTION("runs that were just resumed from a checkpoint")
+  {
+    spread.mCheckpoints = true;
+    fleet.Submit(Job("a", "batch", { spread }), milliseconds(15'000));
+    fleet.Run(milliseconds(150));
+    for (int i = 0; i < fleet.WorkerCount(); ++i) {
+      for (auto& [id, run] : fleet.Worker(i).mRuns) {
+        run.mFromPercent = 60;
+        run.mRestore = milliseconds(600);
+      }
+    }
+    // The next leader reads the runs from the record, as resumed ones.
+    fleet.ChangeLeader();
+    fleet.Run(milliseconds(3'500));
+    BW_CHECK(isFree());
+  }
+  BW_CHECK(fleet.mViolations.empty());
+}
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -182,6 +182,7 @@
   run.mPhase = run_phase::kRestored;
   run.mDemand = CapacityDemand(step);
   run.mGang = step.mGang;
+  run.mLongRunning = step.mLongRunning;
   run.mPhaseSince = aNow;
   run.mLastProgressAt = aNow;
   run.mStartedAt = aNow;
@@ -198,8 +199,8 @@
   }
   for (const auto& [id, worker] : mWorkers) {
     const auto first = worker.mRuns.lower_bound(run_id{ { aJob.mSpec.mId, 0, 0, 0 }, 0 });
-    for (auto each = first;
-         each != worker.mRuns.end() && each->first.mTask.mJob == aJob.mSpec.mId; ++each) {
+    for (auto each = first; each != worker.mRuns.end() && each->first.mTask.mJob == aJob.mSpec.mId;
+         ++each) {
       aJob.mStoppingRuns.emplace_back(each->first, id);
     }
   }
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -326,6 +326,7 @@
     run_entry run;
     run.mDemand = CapacityDemand(spec);
     run.mGang = spec.mGang;
+    run.mLongRunning = spec.mLongRunning;
     run.mRecordedIn = aUnit.mJob->mChange;
     run.mPhaseSince = aNow;
     run.mStartedAt = aNow;
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -137,6 +137,7 @@
   std::string mOrganisation;
   task_demand mLimitedDemand; ///< what the run takes of its organisation's limit
   bool mGang = false;
+  bool mLongRunning = false;
   bool mFromStart = false;      ///< resumes from no checkpoint, and was started by this leader
   std::int64_t mRecordedIn = 0; ///< the change of the job's record that contains the run
   instant mPhaseSince;
@@ -150,6 +151,7 @@
   int mFirstPercent = -1; ///< in the first report; above 0 when resumed from a checkpoint
   instant mFirstReportedAt;
   int mRatePercent = -1;        ///< progress when the rate was measured last
+  bool mIsRateSettled = false;  ///< a resumed run has been listed for one measurement
   milliseconds mRateClock{ 0 }; ///< time of that measurement on the worker's clock
   double mBestRate = 0;         ///< highest measured rate, in percent per second
   instant mStartedAt;
