testsuite.scheduler_takeover queries its workers concurrently

Cause: each of four workers answers 300 ms late and they were asked in turn, so one pass took 1.2 s, while the job is placed and running 0.6 s after its reservation. The awaited state could be missed.

Ruled out: a fault of the scheduler; the trace shows the reservation and the running job.

Change: lease_states queries all workers at once. The same states are checked, with the same time to wait.

The arm64 machine of the failures was not available.

--- a/testsuite/scheduler_takeover/run.py
+++ b/testsuite/scheduler_takeover/run.py
@@ -10,7 +10,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
-from harness import check, http_call, run_case, try_call, wait_until  # noqa: E402
+from harness import (check, http_call, in_parallel, run_case, try_call,  # noqa: E402
+                     wait_until)
 
 DOMAINS = ["d1", "d2"]
 MEMBERS = 4
@@ -48,12 +49,17 @@
 
 
 def lease_states(cluster, job):
-    states = []
-    for worker in cluster.workers:
+    """Returns the states of the job's leases, read from all workers at about the same time.
+
+    Each worker answers SLOW_LATENCY_MS late. Querying them one after the other takes longer than a
+    job stays reserved, so that the state could be missed.
+    """
+    def states_on(worker):
         answer = try_call(worker.address, "GET", "/v1/leases", timeout=2)
         leases = answer.json()["leases"] if answer else []
-        states += [lease["state"] for lease in leases if lease["job"] == job]
-    return states
+        return [lease["state"] for lease in leases if lease["job"] == job]
+    found = in_parallel(states_on, cluster.workers, threads=len(cluster.workers))
+    return [state for states in found for state in states]
 
 
 def submit(cluster, job, repeatable):
