Guaranteed claims take capacity from any run that is not itself guaranteed

Cause: MayEvict never let a unit stop a run of a long-running step, whatever its may_miss, and compared only priorities, so that urgent work beyond a guarantee blocked urgent work within one.

Ruled out: MaxLostWork, which has no limit for guaranteed units; avoided workers, since the new test still failed with only that fault mended.

Change: a guaranteed unit may stop any run of a job that is not within its organisation's guarantee: of any priority, and long-running tasks while fewer than mMaxUnavailable of their step are away, counting those that the plan stops. Lower priorities go first, then urgent work, then long-running work. The set of guaranteed jobs is kept in the state; it follows the order of acceptance, which all leaders share, rather than the time at which a leader read the jobs.

--- a/src/libwork/work_departure.cpp
+++ b/src/libwork/work_departure.cpp
@@ -36,10 +36,11 @@
   return step != nullptr && aEntry.mStartedAt + ExpectedRunTime(job->mSpec, *step) <= aBy;
 }
 
+// The percentage of a long-running task reaches 100 at the end of its startup.
 bool work_core::state::EndsSoon(const run_entry& aEntry, instant aBy) const
 {
   const auto end = MeasuredEnd(aEntry);
-  return aEntry.mPhase == run_phase::kRunning && end && *end <= aBy;
+  return aEntry.mPhase == run_phase::kRunning && !aEntry.mLongRunning && end && *end <= aBy;
 }
 
 // A worker that leaves cuts off the runs it still has, and afterwards answers no polls: their tasks
--- a/src/libwork/work_eviction.cpp
+++ b/src/libwork/work_eviction.cpp
@@ -23,6 +23,12 @@
 // pass over all workers.
 constexpr std::size_t kSeededGangs = 4;
 
+// A guaranteed unit stops other urgent work only where no work of lower priority would do, and
+// long-running work only where nothing else would do. The costs stand for a day, and for two, of
+// running: ordinary runs are shorter.
+constexpr std::chrono::duration<double> kUrgentCost = std::chrono::hours(24);
+constexpr std::chrono::duration<double> kInterruptionCost = std::chrono::hours(48);
+
 // A run that may be stopped, and the work that would be lost.
 struct victim
 {
@@ -31,8 +37,25 @@
   double mLostWork = 0;              ///< in core-seconds; 0 when the run is being stopped already
   const step_entry* mGang = nullptr; ///< gang that stops as a whole; nullptr for single tasks
   bool mNeedsStop = true;            ///< false: it is being stopped, or ends by itself soon
+  /// Long-running step whose limit of unavailable tasks applies; nullptr for others.
+  const step_entry* mLasting = nullptr;
+  int mSpare = 0;      ///< how many more tasks of that step may become unavailable
+  int mTakesSpare = 0; ///< how many become so when the run is stopped
 };
 
+// By long-running step: the number of tasks that a plan makes unavailable.
+using interruption_counts = std::map<const step_entry*, int>;
+
+bool IsWithinSpare(const victim& aVictim, const interruption_counts& aInterrupted)
+{
+  if (aVictim.mLasting == nullptr) {
+    return true;
+  }
+  const auto found = aInterrupted.find(aVictim.mLasting);
+  const int taken = found == aInterrupted.end() ? 0 : found->second;
+  return taken < aVictim.mSpare && taken + aVictim.mTakesSpare <= aVictim.mSpare;
+}
+
 // Capacity that a plan can use on one worker.
 struct eviction_candidate
 {
@@ -48,6 +71,7 @@
   std::vector<task_place> mPlaces;
   std::vector<std::pair<worker_entry*, run_id>> mStops;
   std::set<const step_entry*> mGangs; ///< gangs that the plan stops
+  interruption_counts mInterrupted;
   double mLostWork = 0;
 };
 
@@ -66,10 +90,12 @@
 
 // Chooses the victims with the least lost work per accelerator until one more task fits; nullopt if
 // it never fits. Once one member of a gang is stopped, the work of the whole gang is lost and
-// stopping its other members costs nothing more.
+// stopping its other members costs nothing more. Long-running steps keep to their limit of
+// unavailable tasks.
 std::optional<eviction_offer> FindOffer(const eviction_candidate& aCandidate,
                                         const task_demand& aDemand,
-                                        std::set<const step_entry*> aGangs)
+                                        std::set<const step_entry*> aGangs,
+                                        interruption_counts aInterrupted)
 {
   eviction_offer offer;
   task_demand available = aCandidate.mFree;
@@ -80,6 +106,10 @@
   std::vector<std::size_t> remaining(aCandidate.mVictims.size());
   std::iota(remaining.begin(), remaining.end(), std::size_t{ 0 });
   while (FitCount(available, aDemand) < 1) {
+    std::erase_if(remaining, [&](std::size_t aIndex) {
+      const victim& each = aCandidate.mVictims[aIndex];
+      return !aGangs.contains(each.mGang) && !IsWithinSpare(each, aInterrupted);
+    });
     const auto next = std::ranges::min_element(remaining, {}, [&](std::size_t aIndex) {
       return lostWork(aIndex) /
              std::max(1, aCandidate.mVictims[aIndex].mEntry->mDemand.mAccelerators);
@@ -91,6 +121,9 @@
     offer.mLostWork += lostWork(*next);
     offer.mChosen.push_back(*next);
     available += chosen.mEntry->mDemand;
+    if (chosen.mLasting != nullptr && !aGangs.contains(chosen.mGang)) {
+      aInterrupted[chosen.mLasting] += chosen.mTakesSpare;
+    }
     if (chosen.mGang != nullptr) {
       aGangs.insert(chosen.mGang);
     }
@@ -108,6 +141,9 @@
     if (chosen.mNeedsStop) {
       aPlan.mStops.emplace_back(aCandidate.mWorker, *chosen.mRun);
     }
+    if (chosen.mLasting != nullptr && !aPlan.mGangs.contains(chosen.mGang)) {
+      aPlan.mInterrupted[chosen.mLasting] += chosen.mTakesSpare;
+    }
     if (chosen.mGang != nullptr) {
       aPlan.mGangs.insert(chosen.mGang);
     }
@@ -134,7 +170,7 @@
       if (candidate.mLimit <= 0) {
         continue;
       }
-      auto offer = FindOffer(candidate, demand, aPlan.mGangs);
+      auto offer = FindOffer(candidate, demand, aPlan.mGangs, aPlan.mInterrupted);
       if (offer && (!bestOffer || offer->mLostWork < bestOffer->mLostWork)) {
         best = &candidate;
         bestOffer = std::move(offer);
@@ -163,6 +199,9 @@
       eviction_plan& seed = gangs[each.mGang];
       seed.mStops.emplace_back(candidate.mWorker, *each.mRun);
       seed.mGangs.insert(each.mGang);
+      if (each.mLasting != nullptr) {
+        seed.mInterrupted[each.mLasting] = each.mTakesSpare;
+      }
       seed.mLostWork = each.mLostWork;
     }
   }
@@ -252,13 +291,59 @@
     queue == mSettings.mQueues.end() ? job->mSpec.mPolicy.mPriority : queue->second.mPriority;
   const bool longRunning =
     job->mSpec.mSteps[static_cast<std::size_t>(aRun.mTask.mStep)].mLongRunning;
-  // Long-running tasks are never stopped for others, and have to be restarted however full the pool
+  // A guarantee holds against all work that is not itself within one, of any priority. Long-running
+  // tasks are not stopped here (see MayInterrupt), and have to be restarted however full the pool
   // is.
-  const bool lower =
-    priority > aUnit.mQueue->mPriority || (aUnit.Spec().mLongRunning && priority > 0);
+  const bool lower = priority > aUnit.mQueue->mPriority ||
+                     (aUnit.mGuaranteed && !mGuaranteedJobs.contains(aRun.mTask.mJob)) ||
+                     (aUnit.Spec().mLongRunning && priority > 0);
   return aEntry.mPhase == run_phase::kRunning && !longRunning && lower;
 }
 
+// Whether a task of a long-running step serves: its startup is over and nothing stops it.
+bool work_core::state::IsAtWork(const task_id& aTask)
+{
+  constexpr int kAtWorkPercent = 100;
+  const task_entry* task = FindTask(aTask);
+  if (task == nullptr || task->mPhase != task_phase::kLive) {
+    return false;
+  }
+  const auto worker = mWorkers.find(task->mWorker);
+  if (worker == mWorkers.end() || !worker->second.mReachable) {
+    return false;
+  }
+  const auto run = worker->second.mRuns.find({ aTask, task->mRun });
+  return run != worker->second.mRuns.end() && run->second.mPhase == run_phase::kRunning &&
+         run->second.mPercent >= kAtWorkPercent;
+}
+
+// How many more tasks of the task's step may become unavailable. Tasks count whatever the reason
+// for which they are not at work.
+int work_core::state::SpareTasks(const task_id& aTask)
+{
+  const work_step* spec = FindSpec(aTask);
+  const step_entry* step = FindStep(aTask);
+  if (spec == nullptr || step == nullptr) {
+    return 0;
+  }
+  int spare = spec->mMaxUnavailable;
+  for (std::size_t i = 0; i < step->mTasks.size(); ++i) {
+    task_id each = aTask;
+    each.mIndex = static_cast<int>(i);
+    spare -= IsAtWork(each) ? 0 : 1;
+  }
+  return spare;
+}
+
+// Whether a run of a long-running step may be stopped for the unit, if its step can spare it.
+bool work_core::state::MayInterrupt(const ready_unit& aUnit, const run_id& aRun,
+                                    const run_entry& aEntry)
+{
+  const work_step* spec = FindSpec(aRun.mTask);
+  return aUnit.mGuaranteed && spec != nullptr && spec->mLongRunning &&
+         aEntry.mPhase == run_phase::kRunning && !mGuaranteedJobs.contains(aRun.mTask.mJob);
+}
+
 // Returns the core-seconds that are lost when the run is stopped. Stopping a step with checkpoints
 // saves its progress, so only the restore time is lost. A gang loses the work of all its members.
 double work_core::state::LostWork(const run_id& aRun, const run_entry& aEntry, instant aNow)
@@ -281,8 +366,19 @@
 double work_core::state::EvictionCost(const run_id& aRun, const run_entry& aEntry, instant aNow)
 {
   const job_entry* job = FindJob(aRun.mTask.mJob);
-  const double lost = LostWork(aRun, aEntry, aNow);
-  if (job == nullptr || !mOptions.mParts.mSpareInTime) {
+  const work_step* spec = FindSpec(aRun.mTask);
+  double lost = LostWork(aRun, aEntry, aNow);
+  if (job == nullptr || spec == nullptr) {
+    return lost;
+  }
+  const auto queue = mSettings.mQueues.find(job->mSpec.mQueue);
+  const bool urgent =
+    (queue == mSettings.mQueues.end() ? job->mSpec.mPolicy : queue->second).mPriority == 0;
+  if (spec->mLongRunning) {
+    return kInterruptionCost.count() * CoreEquivalents(aEntry.mDemand);
+  }
+  lost += urgent ? kUrgentCost.count() * CoreEquivalents(aEntry.mDemand) : 0;
+  if (!mOptions.mParts.mSpareInTime) {
     return lost;
   }
   const double late = aNow > ObjectiveOf(*job) ? kLateWorkShare : 1;
@@ -307,6 +403,7 @@
                                        instant aNow)
 {
   std::vector<eviction_candidate> candidates;
+  std::map<const step_entry*, int> spare; // by long-running step
   for (auto& [id, worker] : mWorkers) {
     if (!IsUsable(worker, aUnit, aNow)) {
       continue;
@@ -317,12 +414,27 @@
       const bool endsByItself =
         entry.mPhase == run_phase::kStopping ||
         (mOptions.mParts.mAwaitEnds && EndsSoon(entry, aNow + mOptions.mStopTime));
-      if (!endsByItself && !MayEvict(aUnit, run, entry)) {
+      const bool interrupts = !endsByItself && MayInterrupt(aUnit, run, entry);
+      if (!endsByItself && !interrupts && !MayEvict(aUnit, run, entry)) {
         continue;
       }
-      candidate.mVictims.push_back(
-        { &run, &entry, endsByItself ? 0 : EvictionCost(run, entry, aNow),
-          entry.mGang && !endsByItself ? FindStep(run.mTask) : nullptr, !endsByItself });
+      victim found{ &run, &entry, endsByItself ? 0 : EvictionCost(run, entry, aNow),
+                    entry.mGang && !endsByItself ? FindStep(run.mTask) : nullptr, !endsByItself };
+      if (interrupts) {
+        const step_entry* step = FindStep(run.mTask);
+        found.mLasting = step;
+        const auto [known, isNew] = spare.try_emplace(step, 0);
+        if (isNew) {
+          known->second = SpareTasks(run.mTask);
+        }
+        found.mSpare = known->second;
+        found.mTakesSpare = entry.mGang ? static_cast<int>(step->mTasks.size())
+                                        : static_cast<int>(IsAtWork(run.mTask));
+        if (!IsWithinSpare(found, {})) {
+          continue;
+        }
+      }
+      candidate.mVictims.push_back(found);
     }
     candidates.push_back(std::move(candidate));
   }
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -177,8 +177,9 @@
   return units;
 }
 
-// An organisation's urgent jobs are guaranteed in the order in which they were added, up to its
-// guaranteed number of accelerators.
+// An organisation's urgent jobs are guaranteed in the order in which they were accepted, up to its
+// guaranteed number of accelerators. The order has to be the same for each leader: a job that fell
+// out of the guarantee could be stopped for another.
 void work_core::state::MarkGuaranteed(std::vector<ready_unit>& aUnits)
 {
   std::map<std::string, std::vector<const job_entry*>> claims;
@@ -187,20 +188,22 @@
       claims[job.mSpec.mOrganisation].push_back(&job);
     }
   }
-  std::set<const job_entry*> guaranteed;
+  mGuaranteedJobs.clear();
   for (auto& [organisation, jobs] : claims) {
-    std::ranges::sort(jobs, {}, &job_entry::mAddedAt);
+    std::ranges::sort(jobs, {}, [](const job_entry* aJob) {
+      return std::tuple(aJob->mSpec.mAccepted, aJob->mAddedAt, std::string_view(aJob->mSpec.mId));
+    });
     const auto granted = mSettings.mGuaranteedAccelerators.find(organisation);
     int left = granted == mSettings.mGuaranteedAccelerators.end() ? 0 : granted->second;
     for (const job_entry* job : jobs) {
       left -= TotalAccelerators(job->mSpec);
       if (left >= 0) {
-        guaranteed.insert(job);
+        mGuaranteedJobs.insert(job->mSpec.mId);
       }
     }
   }
   for (ready_unit& unit : aUnits) {
-    if (guaranteed.contains(unit.mJob)) {
+    if (mGuaranteedJobs.contains(unit.mJob->mSpec.mId)) {
       unit.mGuaranteed = true;
       unit.mIsLate = false;
       unit.mRank = kRankGuaranteed;
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -240,6 +240,8 @@
   organisation_ledger mLedger;
   acceptance_rate mAcceptances;
   run_time_estimates mRunTimes;
+  /// Jobs that are within their organisation's guarantee, as of the placement pass.
+  std::set<std::string> mGuaranteedJobs;
 
   // work_jobs.cpp
   void RestoreJob(job_entry& aJob, const stored_job& aStored, instant aNow);
@@ -347,6 +349,9 @@
   double EvictionCost(const run_id& aRun, const run_entry& aEntry, instant aNow);
   double MaxLostWork(const ready_unit& aUnit) const;
   bool MayEvict(const ready_unit& aUnit, const run_id& aRun, const run_entry& aEntry);
+  bool MayInterrupt(const ready_unit& aUnit, const run_id& aRun, const run_entry& aEntry);
+  bool IsAtWork(const task_id& aTask);
+  int SpareTasks(const task_id& aTask);
   bool PlaceByEviction(ready_unit& aUnit, const std::vector<int>& aTasks, instant aNow);
 };
 
