The time without progress follows from measured pace and declared length

Cause: a run was stalled after 0.3 of its declared length without a new percentage, at most 3 s.

Ruled out: workers that stall and late reports (none in the case); a longer fixed maximum, which would delay detection for short runs; the learned time as a bound, since tasks of one queue and shape differ a hundredfold (it may only lengthen the wait).

Change: run_pace measures the time per percent of each run. The wait follows from the run's own pace, else that of its step's other tasks, else the declared length with a factor of 20, three times longer away from the data; never less than two polls. Each stop doubles the wait of the task's next run. Only a run that had a measured pace and lost it counts against its worker; long-running tasks never do. mStallFraction is gone.

Result: libwork.work_stall_test failed before at its first section and passes; run_pace_test checks 0.1 s to 24 h, sound, slow, remote and resumed, with the length declared right and 20 times too low, with a slow period of 6 s at 40 points each, and the times of detection in docs/design/long-tasks.md.

--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -54,11 +54,11 @@
   /// Factor by which lease durations are extended when waiting for their end. A worker's clock may
   /// be 2% slow; the rest covers rounding.
   double mClockDriftFactor = 1.03;
-  /// A run that reports no new percentage for this fraction of its declared run time is stalled. In
-  /// the slowest case (remote data, slow worker) one percent takes a fifth of the declared time.
-  /// Declared times are far off the actual ones, so two bounds apply.
-  double mStallFraction = 0.3;
+  /// A run that reports no new percentage for several times as long as one percent takes is stalled
+  /// (run_pace.h), but never before this time: two polls.
   milliseconds mMinStallTime{ 900 };
+  /// The same for a run of which no length is known, and the least for the startup of a
+  /// long-running task: several times the startups that were seen.
   milliseconds mMaxStallTime{ 3'000 };
   /// How long a worker that failed or refused a run receives no further runs. The time doubles with
   /// each consecutive failure up to the maximum. The first is shorter than any task, the maximum a
--- a/src/libwork/work_health.cpp
+++ b/src/libwork/work_health.cpp
@@ -61,6 +61,62 @@
   aWorker.mStalledSince = {};
 }
 
+milliseconds work_core::state::MaxStall(const worker_entry& aWorker, const run_id& aId,
+                                        const run_entry& aRun)
+{
+  const job_entry* job = FindJob(aId.mTask.mJob);
+  const step_entry* step = FindStep(aId.mTask);
+  const work_step* spec = FindSpec(aId.mTask);
+  if (job == nullptr || step == nullptr || spec == nullptr) {
+    return mOptions.mMaxStallTime;
+  }
+  pace_evidence evidence;
+  evidence.mOwn = aRun.mPace.TimePerPercent(mOptions.mLongPollWait);
+  evidence.mPeers = step->mTimePerPercent;
+  evidence.mLearned = mRunTimes.Find(KindOf(job->mSpec, *spec));
+  evidence.mDeclared = spec->mEstimate;
+  evidence.mIsRemote = IsRemote(aWorker, *spec) || (spec->mGang && spec->mRackLocal);
+  evidence.mEarlierStalls = aRun.mEarlierStalls;
+  const milliseconds longest = MaxTimeWithoutProgress(evidence, mOptions);
+  // The percentage of a long-running task shows its startup, of which no length is declared.
+  return spec->mLongRunning ? std::max(longest, mOptions.mMaxStallTime) : longest;
+}
+
+void work_core::state::RecordPace(const worker_entry& aWorker, const run_id& aId, run_entry& aRun,
+                                  int aPercent, instant aNow)
+{
+  aRun.mPace.Observe(aPercent, aNow);
+  const auto time = aRun.mPace.TimePerPercent(mOptions.mLongPollWait);
+  step_entry* step = FindStep(aId.mTask);
+  const work_step* spec = FindSpec(aId.mTask);
+  if (time && aPercent != aRun.mPercent && step != nullptr && spec != nullptr) {
+    step->mTimePerPercent = IsRemote(aWorker, *spec) ? *time / kRemoteFactor : *time;
+  }
+}
+
+// A run that had shown no pace may have been stopped in error, so only one that lost its pace
+// counts against its worker. In either case the task's next run may go without progress for twice
+// as long, so that a task which is slower than all evidence shows ends at last.
+void work_core::state::RecordStall(worker_entry& aWorker, const run_id& aId, instant aNow)
+{
+  const auto run = aWorker.mRuns.find(aId);
+  if (run == aWorker.mRuns.end()) {
+    return;
+  }
+  const auto record = [&](task_entry& aTask) {
+    aTask.mStalls = std::max(aTask.mStalls, run->second.mEarlierStalls + 1);
+  };
+  step_entry* step = FindStep(aId.mTask);
+  if (step != nullptr && run->second.mGang) {
+    std::ranges::for_each(step->mTasks, record);
+  } else if (task_entry* task = FindTask(aId.mTask)) {
+    record(*task);
+  }
+  if (!run->second.mLongRunning && run->second.mPace.TimePerPercent(mOptions.mLongPollWait)) {
+    PenaliseStall(aWorker, aNow);
+  }
+}
+
 void work_core::state::PenaliseStall(worker_entry& aWorker, instant aNow)
 {
   Quarantine(aWorker, aNow, "a run made no progress");
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -186,7 +186,6 @@
   run.mPhaseSince = aNow;
   run.mLastProgressAt = aNow;
   run.mStartedAt = aNow;
-  run.mStallTime = StallTime(step, mOptions);
   AddRun(worker, aRun, std::move(run), aJob);
   worker.mReachable = false;
 }
--- a/src/libwork/work_reports.cpp
+++ b/src/libwork/work_reports.cpp
@@ -97,6 +97,7 @@
     }
   }
   MeasureRate(aWorker, aRun, aListed.mPercent, aNow);
+  RecordPace(aWorker, aId, aRun, aListed.mPercent, aNow);
   if (aRun.mFirstPercent < 0) {
     aRun.mFirstPercent = aListed.mPercent;
     aRun.mFirstReportedAt = aNow;
@@ -111,7 +112,8 @@
   }
   constexpr int kCompletePercent = 100;
   const bool stalled = aRun.mPhase == run_phase::kRunning && aRun.mPercent < kCompletePercent &&
-                       aNow - aRun.mLastProgressAt > aRun.mStallTime;
+                       aNow - aRun.mLastProgressAt > mOptions.mMinStallTime &&
+                       aNow - aRun.mLastProgressAt > MaxStall(aWorker, aId, aRun);
   return stalled ? kNoProgress : reason;
 }
 
@@ -177,7 +179,7 @@
   }
   for (const auto& [run, reason] : toStop) {
     if (reason == kNoProgress) {
-      PenaliseStall(aWorker, aNow);
+      RecordStall(aWorker, run, aNow);
     }
     StopOtherGangMembers(run, aNow);
     StopRun(aWorker, run, reason, aNow);
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -117,8 +117,7 @@
   if (job == nullptr || step == nullptr || !aRun.mFromStart || step->mLongRunning) {
     return;
   }
-  const bool isRemote = !step->mDataRack.empty() && step->mDataRack != aWorker.mInfo.mRack;
-  if (!isRemote) {
+  if (!IsRemote(aWorker, *step)) {
     mRunTimes.Add(KindOf(job->mSpec, *step),
                   std::chrono::duration_cast<milliseconds>(aNow - aRun.mStartedAt));
   }
@@ -334,7 +333,8 @@
     run.mPhaseSince = aNow;
     run.mStartedAt = aNow;
     run.mFromStart = !spec.mCheckpoints || task.mCheckpoint.empty();
-    run.mStallTime = StallTime(spec, mOptions);
+    run.mPace = run.mFromStart ? run_pace(aNow) : run_pace();
+    run.mEarlierStalls = task.mStalls;
     AddRun(*worker, { aUnit.Task(index), task.mRun }, std::move(run), *aUnit.mJob);
   }
 }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -2,6 +2,7 @@
 
 #include "organisation_ledger.h"
 #include "queue_order.h"
+#include "run_pace.h"
 #include "run_time_estimates.h"
 
 #include "briarwind/work_core.h"
@@ -30,14 +31,6 @@
   return demand;
 }
 
-/// How long a run of the step may go without progress before it counts as stalled.
-inline milliseconds StallTime(const work_step& aStep, const work_options& aOptions)
-{
-  const auto share =
-    std::chrono::duration_cast<milliseconds>(aStep.mEstimate * aOptions.mStallFraction);
-  return std::clamp(share, aOptions.mMinStallTime, aOptions.mMaxStallTime);
-}
-
 enum class task_phase : std::uint8_t
 {
   kWaiting,
@@ -52,6 +45,7 @@
   run_number mRun = 0; ///< of the last start
   std::string mWorker; ///< of the claim or of the live run
   int mFailures = 0;   ///< failed runs; a gang's failed run counts for one of its members only
+  int mStalls = 0;     ///< runs that were stopped as stalled, perhaps in error
   std::string mCheckpoint;
   std::set<std::string> mFailedOn; ///< workers on which a run of the task failed
 };
@@ -72,7 +66,9 @@
   run_number mLastFailedRun = 0; ///< gang only: the run that was last counted as failed
   instant mReadySince;           ///< since when the step is ready or has a task queued again
   instant mClaimedAt;            ///< when its claims were made
-  bool mReady = false;           ///< all steps that it depends on are done
+  /// Time per percent of the task that progressed last, near its data; nullopt: not measured yet.
+  std::optional<milliseconds> mTimePerPercent;
+  bool mReady = false;                           ///< all steps that it depends on are done
   std::map<std::string, advised_worker> mAdvice; ///< by worker
   bool mAdvicePending = false;                   ///< a request to the advisor is in flight
 
@@ -155,7 +151,8 @@
   milliseconds mRateClock{ 0 }; ///< time of that measurement on the worker's clock
   double mBestRate = 0;         ///< highest measured rate, in percent per second
   instant mStartedAt;
-  milliseconds mStallTime{ 0 }; ///< time without progress after which the run is stalled
+  run_pace mPace;
+  int mEarlierStalls = 0; ///< earlier runs of the task that were stopped as stalled
 };
 
 struct worker_entry
@@ -192,6 +189,12 @@
   task_demand Free() const { return mInfo.mCapacity - mUsed - mClaimed; }
 };
 
+/// Whether the step's data are on another rack than the worker.
+inline bool IsRemote(const worker_entry& aWorker, const work_step& aStep)
+{
+  return !aStep.mDataRack.empty() && aStep.mDataRack != aWorker.mInfo.mRack;
+}
+
 /// A step of one occurrence that has tasks to place.
 struct ready_unit
 {
@@ -293,6 +296,10 @@
   // work_health.cpp
   void PenaliseFailure(worker_entry& aWorker, const run_id& aRun, std::string_view aReason,
                        instant aNow);
+  milliseconds MaxStall(const worker_entry& aWorker, const run_id& aId, const run_entry& aRun);
+  void RecordPace(const worker_entry& aWorker, const run_id& aId, run_entry& aRun, int aPercent,
+                  instant aNow);
+  void RecordStall(worker_entry& aWorker, const run_id& aId, instant aNow);
   void PenaliseStall(worker_entry& aWorker, instant aNow);
   void ClearStallOnProgress(worker_entry& aWorker, const run_entry& aRun);
   void ClearFailures(worker_entry& aWorker);
