The guarantee test separates startups and the order of acceptance

Cause: two sections of work_guarantee_test passed also with the rule broken that they name. Seeded faults: counting a task in its startup as at work, and ordering guaranteed jobs by the time at which the leader read them.

Ruled out: leaving it to the review cases, which have neither a failed task nor a change of leader.

Change: the failed task's worker is the last one, so that a plan with the fault stops two other tasks; the other work around the guaranteed job is long-running and cannot be stopped instead.

Result: each of the two seeded faults, and a limit of unavailable tasks that is ignored, fails the test; it passes without.

--- a/src/libwork/work_guarantee_test.cpp
+++ b/src/libwork/work_guarantee_test.cpp
@@ -85,9 +85,10 @@
     fleet.mStartup = milliseconds(4'000);
     fleet.Submit(Lasting("a", "batch", 6, 2), kForever);
     fleet.Run(milliseconds(6'000));
-    fleet.Worker(0).mRuns.begin()->second.mFails = true;
-    fleet.Worker(0).mRuns.begin()->second.mLeft = kForever / 2;
-    fleet.Run(milliseconds(1'000)); // the failed task is in its startup again
+    fleet.Worker(5).mRuns.begin()->second.mFails = true;
+    fleet.Worker(5).mRuns.begin()->second.mLeft = kForever / 2;
+    fleet.Run(milliseconds(1'500)); // the failed task is in its startup again
+    BW_EQUAL(6, fleet.LiveRuns("a"));
     fleet.Submit(Claim("b", 2), milliseconds(2'500));
     int least = 6;
     for (int i = 0; i < 20; ++i) {
@@ -133,7 +134,7 @@
     // Of two jobs of o2 that need 16 accelerators each, the one accepted first is guaranteed.
     fleet.Submit(Claim("z", 2), kLong);
     fleet.Run(milliseconds(1'000));
-    fleet.Submit(Job("a", "batch", { Step(4, 8) }), kLong);
+    fleet.Submit(Lasting("a", "batch", 4, 0), kForever);
     fleet.Run(milliseconds(1'000));
     fleet.Submit(Claim("c", 2), kLong);
     fleet.ChangeLeader();
