--- a/src/libwork/work_health.cpp
+++ b/src/libwork/work_health.cpp
@@ -1,6 +1,7 @@
 #include "work_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace briarwind {
 
@@ -14,6 +15,7 @@
 // run was tried there or not: periods in which a worker fails all its runs last 4 to 8 s.
 constexpr milliseconds kProbation{ 5'000 };
 
+constexpr int kCompletePercent = 100;
 // A progress rate is measured over at least this time: a poll and a little more.
 constexpr milliseconds kRateWindow{ 1'000 };
 // A rate is compared only if the run should have gained this many percent by then, since
@@ -59,6 +61,62 @@
   aWorker.mStalledSince = {};
 }
 
+milliseconds work_core::state::MaxStall(const worker_entry& aWorker, const run_id& aId,
+                                        const run_entry& aRun)
+{
+  const job_entry* job = FindJob(aId.mTask.mJob);
+  const step_entry* step = FindStep(aId.mTask);
+  const work_step* spec = FindSpec(aId.mTask);
+  if (job == nullptr || step == nullptr || spec == nullptr) {
+    return mOptions.mMaxStallTime;
+  }
+  pace_evidence evidence;
+  evidence.mOwn = aRun.mPace.TimePerPercent(mOptions.mLongPollWait);
+  evidence.mPeers = step->mTimePerPercent;
+  evidence.mLearned = mRunTimes.Find(KindOf(job->mSpec, *spec));
+  evidence.mDeclared = spec->mEstimate;
+  evidence.mIsRemote = IsRemote(aWorker, *spec) || (spec->mGang && spec->mRackLocal);
+  evidence.mEarlierStalls = aRun.mEarlierStalls;
+  const milliseconds longest = MaxTimeWithoutProgress(evidence, mOptions);
+  // The percentage of a long-running task shows its startup, of which no length is declared.
+  return spec->mLongRunning ? std::max(longest, mOptions.mMaxStallTime) : longest;
+}
+
+void work_core::state::RecordPace(const worker_entry& aWorker, const run_id& aId, run_entry& aRun,
+                                  int aPercent, instant aNow)
+{
+  aRun.mPace.Observe(aPercent, aNow);
+  const auto time = aRun.mPace.TimePerPercent(mOptions.mLongPollWait);
+  step_entry* step = FindStep(aId.mTask);
+  const work_step* spec = FindSpec(aId.mTask);
+  if (time && aPercent != aRun.mPercent && step != nullptr && spec != nullptr) {
+    step->mTimePerPercent = IsRemote(aWorker, *spec) ? *time / kRemoteFactor : *time;
+  }
+}
+
+// A run that had shown no pace may have been stopped in error, so only one that lost its pace
+// counts against its worker. In either case the task's next run may go without progress for twice
+// as long, so that a task which is slower than all evidence shows ends at last.
+void work_core::state::RecordStall(worker_entry& aWorker, const run_id& aId, instant aNow)
+{
+  const auto run = aWorker.mRuns.find(aId);
+  if (run == aWorker.mRuns.end()) {
+    return;
+  }
+  const auto record = [&](task_entry& aTask) {
+    aTask.mStalls = std::max(aTask.mStalls, run->second.mEarlierStalls + 1);
+  };
+  step_entry* step = FindStep(aId.mTask);
+  if (step != nullptr && run->second.mGang) {
+    std::ranges::for_each(step->mTasks, record);
+  } else if (task_entry* task = FindTask(aId.mTask)) {
+    record(*task);
+  }
+  if (!run->second.mLongRunning && run->second.mPace.TimePerPercent(mOptions.mLongPollWait)) {
+    PenaliseStall(aWorker, aNow);
+  }
+}
+
 void work_core::state::PenaliseStall(worker_entry& aWorker, instant aNow)
 {
   Quarantine(aWorker, aNow, "a run made no progress");
@@ -75,12 +133,15 @@
 
 // A run whose progress rate drops to a fraction of its own best rate shows that its worker turned
 // slow. The declared run time can't show this, since it is far off. Gangs are not measured: each
-// member is as slow as the slowest one, whichever worker that is on. The rate is measured on the
-// worker's clock, since reports may arrive late.
+// member is as slow as the slowest one, whichever worker that is on. Nor are long-running tasks,
+// whose percentage shows their startup and then stays at 100. A resumed run is measured from its
+// second measurement on: its percentage may jump to that of its checkpoint while it is restored. A
+// run at 100 percent has no progress left to measure. The rate is measured on the worker's clock,
+// since reports may arrive late.
 void work_core::state::MeasureRate(worker_entry& aWorker, run_entry& aRun, int aPercent,
                                    instant aNow)
 {
-  if (aRun.mGang) {
+  if (aRun.mGang || aRun.mLongRunning || aPercent >= kCompletePercent) {
     return;
   }
   const milliseconds clock = aWorker.mInfo.mClock;
@@ -93,6 +154,11 @@
   if (elapsed < kRateWindow) {
     return;
   }
+  if (!std::exchange(aRun.mIsRateSettled, true) && !aRun.mFromStart) {
+    aRun.mRatePercent = aPercent;
+    aRun.mRateClock = clock;
+    return;
+  }
   const double rate = (aPercent - aRun.mRatePercent) / elapsed.count();
   const bool comparable = aRun.mBestRate * elapsed.count() >= kMinExpectedPercent;
   if (comparable && rate < kSlowRateFraction * aRun.mBestRate) {
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -183,10 +183,10 @@
   run.mPhase = run_phase::kRestored;
   run.mDemand = CapacityDemand(step);
   run.mGang = step.mGang;
+  run.mLongRunning = step.mLongRunning;
   run.mPhaseSince = aNow;
   run.mLastProgressAt = aNow;
   run.mStartedAt = aNow;
-  run.mStallTime = StallTime(step, mOptions);
   AddRun(worker, aRun, std::move(run), aJob);
   worker.mReachable = false;
 }
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -116,8 +116,7 @@
   if (job == nullptr || step == nullptr || !aRun.mFromStart || step->mLongRunning) {
     return;
   }
-  const bool isRemote = !step->mDataRack.empty() && step->mDataRack != aWorker.mInfo.mRack;
-  if (!isRemote) {
+  if (!IsRemote(aWorker, *step)) {
     mRunTimes.Add(KindOf(job->mSpec, *step),
                   std::chrono::duration_cast<milliseconds>(aNow - aRun.mStartedAt));
   }
@@ -176,8 +175,9 @@
   return units;
 }
 
-// An organisation's urgent jobs are guaranteed in the order in which they were added, up to its
-// guaranteed number of accelerators.
+// An organisation's urgent jobs are guaranteed in the order in which they were accepted, up to its
+// guaranteed number of accelerators. The order has to be the same for each leader: a job that fell
+// out of the guarantee could be stopped for another.
 void work_core::state::MarkGuaranteed(std::vector<ready_unit>& aUnits)
 {
   std::map<std::string, std::vector<const job_entry*>> claims;
@@ -186,20 +186,22 @@
       claims[job.mSpec.mOrganisation].push_back(&job);
     }
   }
-  std::set<const job_entry*> guaranteed;
+  mGuaranteedJobs.clear();
   for (auto& [organisation, jobs] : claims) {
-    std::ranges::sort(jobs, {}, &job_entry::mAddedAt);
+    std::ranges::sort(jobs, {}, [](const job_entry* aJob) {
+      return std::tuple(aJob->mSpec.mAccepted, aJob->mAddedAt, std::string_view(aJob->mSpec.mId));
+    });
     const auto granted = mSettings.mGuaranteedAccelerators.find(organisation);
     int left = granted == mSettings.mGuaranteedAccelerators.end() ? 0 : granted->second;
     for (const job_entry* job : jobs) {
       left -= TotalAccelerators(job->mSpec);
       if (left >= 0) {
-        guaranteed.insert(job);
+        mGuaranteedJobs.insert(job->mSpec.mId);
       }
     }
   }
   for (ready_unit& unit : aUnits) {
-    if (guaranteed.contains(unit.mJob)) {
+    if (mGuaranteedJobs.contains(unit.mJob->mSpec.mId)) {
       unit.mGuaranteed = true;
       unit.mIsLate = false;
       unit.mRank = kRankGuaranteed;
@@ -341,11 +343,13 @@
     run_entry run;
     run.mDemand = CapacityDemand(spec);
     run.mGang = spec.mGang;
+    run.mLongRunning = spec.mLongRunning;
     run.mRecordedIn = aUnit.mJob->mChange;
     run.mPhaseSince = aNow;
     run.mStartedAt = aNow;
     run.mFromStart = !spec.mCheckpoints || task.mCheckpoint.empty();
-    run.mStallTime = StallTime(spec, mOptions);
+    run.mPace = run.mFromStart ? run_pace(aNow) : run_pace();
+    run.mEarlierStalls = task.mStalls;
     AddRun(*worker, { aUnit.Task(index), task.mRun }, std::move(run), *aUnit.mJob);
   }
 }
