Workers are judged by runs compared with their step's other tasks

Cause: worker_rates exists, and nothing gives it samples.

Ruled out: comparing with declared times (off by up to 90%); gangs (each member is as slow as the slowest); long-running and best-effort tasks and runs away from their data, whose pace says nothing of the worker.

Change: run_entry measures its pace while the run is evidence (decided once, when the run is added). A run that has gained 20% in 1.4 s or more is compared once with up to 64 of its step's tasks on other workers, when most of those started are measured; a shorter one when it has completed, with up to 64 of its step's other completed runs. Classes are updated every 250 ms at most, relative to the median worker. BW6130 and BW6131 say when a worker is slow and no longer slow, and briarwind_node_decisions_total counts both. The switch is worker-rates. Placement does not use the classes yet. The simulated fleet can slow a worker by a fraction and vary the work of tasks.

--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -25,6 +25,7 @@
   bool mShapeFit = true;     ///< best fit over all resources rather than accelerators first
   bool mAwaitEnds = true;    ///< wait for runs that end soon rather than stop others
   bool mSpareInTime = true;  ///< prefer to preempt work that is late already
+  bool mWorkerRates = true;  ///< order workers by their measured speed and by their absences
 
   bool operator==(const work_parts&) const = default;
 };
@@ -133,6 +134,8 @@
   kWorkerLost,        ///< the leases of an unresponsive worker have expired
   kWorkerQuarantined, ///< a worker receives no new runs for a while
   kWaitsForLimit,     ///< the limit of its organisation keeps tasks of a job from starting
+  kWorkerSlow,        ///< a worker's runs take longer than their steps' other tasks
+  kWorkerNotSlow,     ///< a slow worker is of the usual speed again, or no longer judged
 };
 
 /// Name of the event kind in logs and metrics.
--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -38,6 +38,8 @@
   kWorkForgotten,
   kWorkNotRemoved,
   kWorkWaitsForLimit,
+  kWorkWorkerSlow,
+  kWorkWorkerNotSlow,
   kJobAccepted,
   kJobRefused,
   kJobOutcomeUnclear,
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -127,6 +127,16 @@
   "Tasks of a job could start, but the limit of its organisation on the resource in `reason` is "
   "used up; logged once for each wait."
 };
+inline constexpr event_kind kWorkWorkerSlow{
+  6130, log_level::kInfo, "work.worker-slow",
+  "The runs of a worker take longer than other tasks of the same steps; gangs and work that may "
+  "miss "
+  "its objective get it last. `reason` gives its rate, 1 being the usual."
+};
+inline constexpr event_kind kWorkWorkerNotSlow{
+  6131, log_level::kInfo, "work.worker-not-slow",
+  "A slow worker runs tasks at the usual speed again, or has run too few of late to be judged."
+};
 inline constexpr event_kind kJobAccepted{
   6201, log_level::kInfo, "caller.accepted",
   "A job is stored and its submission is acknowledged to the caller."
--- a/src/libcontrol/work_event_log.cpp
+++ b/src/libcontrol/work_event_log.cpp
@@ -31,6 +31,10 @@
       return kWorkWorkerQuarantined;
     case work_event_kind::kWaitsForLimit:
       return kWorkWaitsForLimit;
+    case work_event_kind::kWorkerSlow:
+      return kWorkWorkerSlow;
+    case work_event_kind::kWorkerNotSlow:
+      return kWorkWorkerNotSlow;
   }
   return kWorkLost;
 }
--- a/src/libwork/testing/fleet_simulation.cpp
+++ b/src/libwork/testing/fleet_simulation.cpp
@@ -173,6 +173,8 @@
       Send(aLeader, *start);
     } else if (const auto* request = std::get_if<advice_request>(&action)) {
       Advise(core, *request);
+    } else if (const auto* event = std::get_if<work_event>(&action)) {
+      ++mWorkerEvents[{ event->mKind, event->mWorker }];
     } else if (const auto* stop = std::get_if<stop_run>(&action)) {
       const std::size_t worker = IndexOf(stop->mWorker);
       const bool lost = mPartitioned.contains(worker) || Chance(mFaults.mLostAnswer);
@@ -244,13 +246,21 @@
   core.OnStarted(aOrder, lost ? start_outcome::kUnknown : outcome, mNow, mNow);
 }
 
+// Depends on the task alone, so that each of its runs has the same work.
+milliseconds fleet_simulation::WorkOf(const task_id& aTask) const
+{
+  std::mt19937_64 random(std::hash<std::string>()(ToString(aTask)));
+  const double share = std::uniform_real_distribution<double>(-mTaskSpread, mTaskSpread)(random);
+  return std::chrono::duration_cast<milliseconds>(mRunTimes.at(aTask.mJob) * (1 + share));
+}
+
 start_outcome fleet_simulation::Deliver(std::size_t aWorker, const start_run& aOrder,
                                         std::int64_t aEpoch, milliseconds aUntil)
 {
   simulated_worker& worker = *mWorkers[aWorker];
   const bool known = worker.mRuns.contains(aOrder.mRun);
   const start_outcome outcome =
-    worker.Start(aOrder.mRun, aEpoch, aUntil, mRunTimes[aOrder.mRun.mTask.mJob], mNow);
+    worker.Start(aOrder.mRun, aEpoch, aUntil, WorkOf(aOrder.mRun.mTask), mNow);
   if (outcome == start_outcome::kStarted && !known) {
     CheckStart(aOrder, aWorker);
     ++worker.mStarted;
@@ -360,6 +370,13 @@
   return found == mStarts.end() ? 0 : found->second;
 }
 
+int fleet_simulation::Events(work_event_kind aKind, int aWorker) const
+{
+  const auto found =
+    mWorkerEvents.find({ aKind, mWorkers.at(static_cast<std::size_t>(aWorker))->mInfo.mId });
+  return found == mWorkerEvents.end() ? 0 : found->second;
+}
+
 int fleet_simulation::LiveRuns(const std::string& aJob) const
 {
   int live = 0;
--- a/src/libwork/testing/fleet_simulation.h
+++ b/src/libwork/testing/fleet_simulation.h
@@ -46,12 +46,16 @@
   void SetListed(int aWorker, bool aListed);
   work_state StoredState(const std::string& aJob) const;
   int Starts(const std::string& aJob) const;
+  /// Number of such events about the worker.
+  int Events(work_event_kind aKind, int aWorker) const;
   int LiveRuns(const std::string& aJob) const;
   bool AllFinished() const;
 
   simulation_faults mFaults;
   /// Violated invariants; empty if all of them held.
   std::vector<std::string> mViolations;
+  /// Share by which the work of a step's tasks differs from their job's, either way.
+  double mTaskSpread = 0;
   /// Jobs whose tasks always fail.
   std::set<std::string> mFailingJobs;
   /// Workers that the placement advisor approves for any step, and the number of requests to it.
@@ -99,6 +103,7 @@
   void RecordAcknowledged(const simulated_worker& aWorker, std::int64_t aThrough);
   std::size_t IndexOf(const std::string& aWorker) const;
   bool Chance(double aShare);
+  milliseconds WorkOf(const task_id& aTask) const;
   std::vector<registered_worker> Registry() const;
 
   work_options mOptions;
@@ -116,6 +121,7 @@
   std::map<std::string, milliseconds> mRunTimes;
   std::set<std::string> mCancelled;
   std::map<std::string, int> mStarts;
+  std::map<std::pair<work_event_kind, std::string>, int> mWorkerEvents;
   std::set<task_id> mEndedDone;
   std::set<task_id> mAcknowledgedDone;
   work_settings mSettings;
--- a/src/libwork/testing/simulated_worker.h
+++ b/src/libwork/testing/simulated_worker.h
@@ -43,8 +43,8 @@
   std::set<std::int64_t> mExpiredEnds;
   bool mFailsAll = false;
   bool mStalled = false;
-  int mSlowdown = 1; ///< factor by which the run times are multiplied
-  int mStarted = 0;  ///< number of runs started on the worker
+  double mSlowdown = 1; ///< factor by which the run times are multiplied
+  int mStarted = 0;     ///< number of runs started on the worker
 
   milliseconds Clock(instant aNow) const;
 
--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -101,6 +101,7 @@
     if (isNew && worker.mLeasesExpireAt == instant()) {
       worker.mLastReportAt = aNow;
     }
+    mState->mRates.OnListed(each, aNow);
     mState->UpdateDeparture(worker, aNow);
   }
 }
--- a/src/libwork/work_limits.cpp
+++ b/src/libwork/work_limits.cpp
@@ -33,6 +33,7 @@
   const work_step& step = aJob.mSpec.mSteps[static_cast<std::size_t>(aId.mTask.mStep)];
   aRun.mOrganisation = aJob.mSpec.mOrganisation;
   aRun.mLimitedDemand = LimitedDemand(step);
+  aRun.mShowsRate = ShowsRate(aWorker, step);
   const task_demand demand = aRun.mDemand;
   const auto [place, isNew] = aWorker.mRuns.emplace(aId, std::move(aRun));
   if (isNew) {
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -41,6 +41,7 @@
   const auto run = aWorker.mRuns.find(aRun);
   if (aHow == run_end::kDone && current && run != aWorker.mRuns.end()) {
     LearnRunTime(aWorker, aRun, run->second, aNow);
+    LearnWorkerRate(aWorker, aRun, run->second, aNow);
   }
   RemoveRun(aWorker, aRun);
   EmitEvent(work_event_kind::kEnded, aRun.mTask.mJob, ToString(aRun.mTask), worker,
@@ -124,6 +125,7 @@
   }
   MarkChanged(*job);
   if (step->IsDone()) {
+    mRates.OnStepDone(aTask, aNow);
     FinishJobIfDone(*job, aNow);
   }
 }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -3,6 +3,7 @@
 #include "organisation_ledger.h"
 #include "queue_order.h"
 #include "run_time_estimates.h"
+#include "worker_rates.h"
 
 #include "briarwind/work_core.h"
 
@@ -154,6 +155,8 @@
   double mBestRate = 0;         ///< highest measured rate, in percent per second
   instant mStartedAt;
   milliseconds mStallTime{ 0 }; ///< time without progress after which the run is stalled
+  bool mShowsRate = false;      ///< its pace is evidence of its worker's speed
+  run_pace mPace;               ///< measured only if mShowsRate
 };
 
 struct worker_entry
@@ -183,6 +186,7 @@
   instant mAvoidedUntil;        ///< its runs slowed down; it receives no new runs until this time
   std::string mPenalisedForJob; ///< job of the failure that last led to a quarantine
   instant mStalledSince;        ///< when a stalled run was detected; instant(): none
+  speed_class mSpeed = speed_class::kUsual; ///< as of the present decision pass
 
   /// What orphans take of their organisations' limits.
   std::vector<std::pair<std::string, task_demand>> mOrphanUse;
@@ -238,6 +242,8 @@
   organisation_ledger mLedger;
   acceptance_rate mAcceptances;
   run_time_estimates mRunTimes;
+  worker_rates mRates;
+  instant mRatesUpdatedAt;
 
   // work_jobs.cpp
   void RestoreJob(job_entry& aJob, const stored_job& aStored, instant aNow);
@@ -296,6 +302,16 @@
   void AvoidSlowWorker(worker_entry& aWorker, instant aNow);
   void Quarantine(worker_entry& aWorker, instant aNow, std::string_view aReason);
 
+  // work_rates.cpp
+  /// Whether a run of the step on this worker is evidence of the worker's speed.
+  bool ShowsRate(const worker_entry& aWorker, const work_step& aStep) const;
+  void MeasurePace(const worker_entry& aWorker, const run_id& aId, run_entry& aRun, int aPercent,
+                   instant aNow);
+  std::vector<worker_pace> PacesOfOtherTasks(const worker_entry& aWorker, const run_id& aId);
+  void LearnWorkerRate(const worker_entry& aWorker, const run_id& aId, const run_entry& aRun,
+                       instant aNow);
+  void UpdateWorkerRates(instant aNow);
+
   // work_departure.cpp
   void UpdateDeparture(worker_entry& aWorker, instant aNow);
   bool IsExpectedToEndBy(const run_id& aRun, const run_entry& aEntry, instant aBy);
--- a/src/libwork/worker_rates.cpp
+++ b/src/libwork/worker_rates.cpp
@@ -8,19 +8,25 @@
 
 namespace {
 
-// A pace is measured over at least this time, which covers a report and a little more.
-constexpr milliseconds kMinPaceTime{ 1'000 };
+// A pace is measured over at least this time, which lies between two reports.
+constexpr milliseconds kMinPaceTime{ 500 };
+// A run is compared only after this time, which is more than a report longer than the former. By
+// then the runs that started with it are measured, too; otherwise it would be compared with those
+// on the workers that are polled first.
+constexpr milliseconds kMinComparisonTime{ 1'400 };
 // Progress at which a run is compared first. Percentages are whole numbers, so the error is a
-// twentieth; a run without enough others to compare with is tried again at twice the progress.
+// twentieth; a run without enough others to compare with is tried again later.
 constexpr int kFirstComparison = 20;
+constexpr int kComparisonStep = 10;
 // Runs that completed sooner are not compared: the way of the order and the report would count.
 constexpr milliseconds kMinCompletedTime{ 500 };
 // Number of other workers in a comparison. The median of three is that of a usual worker even if
 // one of them is slow.
 constexpr std::size_t kMinOthers = 3;
 // Completed runs of a step are compared in blocks of this size. Runs of a block are compared with
-// each other, because those that have completed earlier are the faster ones.
-constexpr std::size_t kBlock = 16;
+// each other, because those that have completed earlier are the faster ones. In a smaller block, the
+// runs that complete at about the same time would be on workers of the same speed.
+constexpr std::size_t kBlock = 64;
 // Maximum number of steps with completed runs that are not compared yet; beyond it the step whose
 // last run completed longest ago is dropped. Long runs are compared by their percentages before.
 constexpr std::size_t kMaxSteps = 256;
@@ -38,12 +44,15 @@
 // Samples lose half their weight in this time: several run times of most tasks, and short enough
 // for a worker that has recovered to be used again within a minute.
 constexpr std::chrono::duration<double> kHalfLife{ 20 };
-// Rates at which a worker becomes slow or fast, and returns to the usual class. With the prior, a
-// worker that takes 1.25 times as long becomes slow after about four samples.
-constexpr double kSlowBelow = 0.90;
-constexpr double kUsualAbove = 0.95;
-constexpr double kFastAbove = 1.10;
-constexpr double kUsualBelow = 1.05;
+// Rates, relative to the median worker's, at which a worker becomes slow or fast and returns to the
+// usual class. With the prior, a worker that takes 1.25 times as long becomes slow after some ten
+// samples of tasks that differ by 30%, and few usual workers do.
+constexpr double kSlowBelow = 0.92;
+constexpr double kUsualAbove = 0.96;
+constexpr double kFastAbove = 1.08;
+constexpr double kUsualBelow = 1.04;
+// Fewer judged workers have no meaningful median.
+constexpr std::size_t kMinJudgedWorkers = 4;
 // A worker that is not listed for this long is forgotten.
 constexpr milliseconds kForgetAfter{ 60'000 };
 
@@ -83,13 +92,14 @@
 bool run_pace::IsComparisonDue() const
 {
   return !mWasCompared && mFromPercent >= 0 &&
-         mPercent - mFromPercent >= std::max(mNextComparison, kFirstComparison) && PerSecond();
+         mPercent - mFromPercent >= std::max(mNextComparison, kFirstComparison) &&
+         mClock - mFromClock >= kMinComparisonTime;
 }
 
 void run_pace::OnCompared(bool aSuccess)
 {
   mWasCompared = aSuccess;
-  mNextComparison = 2 * std::max(mNextComparison, kFirstComparison);
+  mNextComparison = mPercent - mFromPercent + kComparisonStep;
 }
 
 std::optional<double> RelativePace(const worker_pace& aRun, std::span<const worker_pace> aOthers)
@@ -132,10 +142,10 @@
   return std::exp(mSum * factor / (mWeight * factor + kPriorWeight));
 }
 
-speed_class worker_rates::rate::NextClass(instant aNow) const
+speed_class worker_rates::rate::NextClass(double aUsual, instant aNow) const
 {
   const double weight = mWeight * DecayFactor(aNow);
-  const double estimate = Estimate(aNow);
+  const double estimate = Estimate(aNow) / aUsual;
   if (weight >= kMinWeight && estimate < kSlowBelow) {
     return speed_class::kSlow;
   }
@@ -213,14 +223,34 @@
   }
 }
 
+// A sample is relative to a median task, which is below the usual speed where many workers are
+// slow: with a third of them slow, usual workers have samples above 1.
+double worker_rates::UsualRate(instant aNow) const
+{
+  std::vector<double> judged;
+  for (const auto& [id, known] : mRates) {
+    if (known.mWeight * known.DecayFactor(aNow) >= kMinWeight) {
+      judged.push_back(known.Estimate(aNow));
+    }
+  }
+  if (judged.size() < kMinJudgedWorkers) {
+    return 1;
+  }
+  const auto middle = judged.begin() + static_cast<std::ptrdiff_t>(judged.size() / 2);
+  std::ranges::nth_element(judged, middle);
+  return *middle;
+}
+
 std::vector<worker_rates::change> worker_rates::Update(instant aNow)
 {
   std::erase_if(mRates,
                 [&](const auto& aRate) { return aNow - aRate.second.mListedAt > kForgetAfter; });
+  const double usual = UsualRate(aNow);
   std::vector<change> changes;
   for (auto& [id, known] : mRates) {
-    if (const speed_class next = known.NextClass(aNow); next != known.mClass) {
-      changes.push_back({ id, std::exchange(known.mClass, next), next, known.Estimate(aNow) });
+    if (const speed_class next = known.NextClass(usual, aNow); next != known.mClass) {
+      changes.push_back(
+        { id, std::exchange(known.mClass, next), next, known.Estimate(aNow) / usual });
     }
   }
   return changes;
--- a/src/libwork/worker_rates.h
+++ b/src/libwork/worker_rates.h
@@ -65,7 +65,7 @@
     std::string mWorker;
     speed_class mFrom = speed_class::kUsual;
     speed_class mTo = speed_class::kUsual;
-    double mRate = 1; ///< 1: the usual speed
+    double mRate = 1; ///< relative to the median worker's
   };
 
   /// Makes the worker known. Its rate is reset when a new incarnation has another address, rack,
@@ -84,7 +84,8 @@
   std::vector<change> Update(instant aNow);
 
   speed_class Class(const std::string& aWorker) const;
-  /// Estimated speed, 1 being the usual; drawn towards 1 while there are few samples.
+  /// Estimated speed relative to the tasks it was compared with; drawn towards 1 while there are
+  /// few samples.
   double Rate(const std::string& aWorker, instant aNow) const;
   std::size_t Workers() const { return mRates.size(); }
   std::size_t Steps() const { return mCompleted.size(); }
@@ -102,7 +103,7 @@
     double DecayFactor(instant aNow) const;
     double Estimate(instant aNow) const;
     void Decay(instant aNow);
-    speed_class NextClass(instant aNow) const;
+    speed_class NextClass(double aUsual, instant aNow) const;
   };
   struct completed_runs
   {
@@ -110,6 +111,7 @@
     std::int64_t mLastUsed = 0;
   };
 
+  double UsualRate(instant aNow) const;
   void CompareCompleted(const std::vector<worker_pace>& aRuns, instant aNow);
 
   std::map<std::string, rate> mRates;
