Gangs avoid workers that just came back, and all work those that flap

Cause: a worker that goes down and up every 1.4 s is the emptiest or first candidate each time it is up, so gangs are placed on it and lost with it while other workers are free.

Ruled out: a quarantine, which would hold work back when nothing else is free; a wait; keeping gangs off leaving workers, which IsEligible does for all work already.

Change: the core passes absences to worker_presence: a poll that fails after an answered one, a worker missing from the registry, a new incarnation. Gangs are tried on steady workers before workers that returned within 5 s. A worker that went away twice within 10 s comes last for all work, after failures and before speed; BW6132 says so, once for each such time, and briarwind_node_decisions_total counts it. The switch is worker-rates.

--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -136,6 +136,7 @@
   kWaitsForLimit,     ///< the limit of its organisation keeps tasks of a job from starting
   kWorkerSlow,        ///< a worker's runs take longer than their steps' other tasks
   kWorkerNotSlow,     ///< a slow worker is of the usual speed again, or no longer judged
+  kWorkerFlaps,       ///< a worker went away repeatedly within a short time
 };
 
 /// Name of the event kind in logs and metrics.
--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -40,6 +40,7 @@
   kWorkWaitsForLimit,
   kWorkWorkerSlow,
   kWorkWorkerNotSlow,
+  kWorkWorkerFlaps,
   kJobAccepted,
   kJobRefused,
   kJobOutcomeUnclear,
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -137,6 +137,11 @@
   6131, log_level::kInfo, "work.worker-not-slow",
   "A slow worker runs tasks at the usual speed again, or has run too few of late to be judged."
 };
+inline constexpr event_kind kWorkWorkerFlaps{
+  6132, log_level::kWarning, "work.worker-flaps",
+  "A worker went away (stopped answering, left the registry or restarted) twice within 10 s; it is "
+  "used last for all work until 10 s pass with at most one absence."
+};
 inline constexpr event_kind kJobAccepted{
   6201, log_level::kInfo, "caller.accepted",
   "A job is stored and its submission is acknowledged to the caller."
--- a/src/libcontrol/work_event_log.cpp
+++ b/src/libcontrol/work_event_log.cpp
@@ -35,6 +35,8 @@
       return kWorkWorkerSlow;
     case work_event_kind::kWorkerNotSlow:
       return kWorkWorkerNotSlow;
+    case work_event_kind::kWorkerFlaps:
+      return kWorkWorkerFlaps;
   }
   return kWorkLost;
 }
--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -75,8 +75,11 @@
 
 void work_core::SetWorkers(const std::vector<registered_worker>& aWorkers, instant aNow)
 {
+  std::vector<std::string> listedBefore;
   for (auto& [id, worker] : mState->mWorkers) {
-    worker.mListed = false;
+    if (std::exchange(worker.mListed, false)) {
+      listedBefore.push_back(id);
+    }
   }
   for (const registered_worker& each : aWorkers) {
     worker_entry& worker = mState->mWorkers[each.mId];
@@ -102,8 +105,18 @@
       worker.mLastReportAt = aNow;
     }
     mState->mRates.OnListed(each, aNow);
+    if (restarted) {
+      mState->mPresence.OnRestarted(each.mId, aNow);
+    } else if (worker.mReachable) {
+      mState->mPresence.OnPresent(each.mId, aNow);
+    }
     mState->UpdateDeparture(worker, aNow);
   }
+  for (const std::string& id : listedBefore) {
+    if (!mState->mWorkers[id].mListed) {
+      mState->mPresence.OnAway(id, aNow);
+    }
+  }
 }
 
 bool work_core::IsNewJob(const std::string& aJob, store_revision aAccepted) const
@@ -243,11 +256,15 @@
   worker.mReportRequestedAt = aSent;
   if (aReport.mIncarnation > worker.mInfo.mIncarnation) {
     mState->ResetForIncarnation(worker, aReport.mIncarnation, aNow);
+    mState->mPresence.OnRestarted(aWorker, aNow);
   }
   worker.mInfo.mClock = aReport.mClock;
   worker.mClockReadAt = aNow;
   worker.mLastReportAt = aNow;
   const bool becameReachable = !std::exchange(worker.mReachable, true);
+  if (worker.mListed) {
+    mState->mPresence.OnPresent(aWorker, aNow);
+  }
   mState->ApplyReport(worker, aReport, aSent, aNow);
   if (becameReachable) {
     mState->mReplan = true;
@@ -260,7 +277,9 @@
 {
   const auto found = mState->mWorkers.find(aWorker);
   if (found != mState->mWorkers.end()) {
-    found->second.mReachable = false;
+    if (std::exchange(found->second.mReachable, false)) {
+      mState->mPresence.OnAway(aWorker, aNow);
+    }
     mState->HandleExpiredLeases(aWorker, found->second, aNow);
   }
 }
--- a/src/libwork/work_names.cpp
+++ b/src/libwork/work_names.cpp
@@ -65,7 +65,7 @@
 
 std::string_view ToString(work_event_kind aKind)
 {
-  static constexpr std::array<std::string_view, 14> kNames{
+  static constexpr std::array<std::string_view, 15> kNames{
     "job-known",
     "started",
     "start-failed",
@@ -80,6 +80,7 @@
     "waits-for-limit",
     "worker-slow",
     "worker-not-slow",
+    "worker-flaps",
   };
   return NameAt(kNames, aKind);
 }
--- a/src/libwork/work_placement.cpp
+++ b/src/libwork/work_placement.cpp
@@ -54,7 +54,7 @@
 
 // Best fit: the fullest workers that still have capacity for a task come first, so that entire
 // workers stay free for tasks that need them. Workers without recent failures come before all
-// others, then, for work that may miss its objective, the faster ones.
+// others, then those that don't flap, then, for work that may miss its objective, the faster ones.
 void SortByFit(std::vector<available_worker>& aWorkers, const ready_unit& aUnit)
 {
   std::ranges::sort(aWorkers, [&](const available_worker& aLeft, const available_worker& aRight) {
@@ -64,6 +64,8 @@
         aUnit.mFitsShape ? FreeShare(free, aAvailable.mWorker->mInfo.mCapacity) : 0;
       return std::tuple(aAvailable.mWorker->mFailuresInRow,
                         aAvailable.mWorker->mLastSuccessAt < aUnit.mPreferSuccessSince,
+                        aAvailable.mWorker->mIsFlapping,
+                        aUnit.Spec().mGang && aAvailable.mWorker->mHasJustReturned,
                         RankedSpeed(*aAvailable.mWorker, aUnit), emptiness, free.mAccelerators,
                         free.mMilliCores, std::string_view(aAvailable.mWorker->mInfo.mId));
     };
@@ -76,15 +78,22 @@
   return aWorker.mFailuresInRow == 0;
 }
 
-bool IsSoundAndNotSlow(const worker_entry& aWorker)
+bool IsSteady(const worker_entry& aWorker)
 {
-  return HasNoFailures(aWorker) && aWorker.mSpeed != speed_class::kSlow;
+  return HasNoFailures(aWorker) && !aWorker.mIsFlapping && !aWorker.mHasJustReturned;
 }
 
-// The workers that a gang may use, tried in this order until it fits. A gang goes at the pace of
-// its slowest member. If it needs a single slow worker, the speed of the others doesn't matter.
+bool IsSteadyAndNotSlow(const worker_entry& aWorker)
+{
+  return IsSteady(aWorker) && aWorker.mSpeed != speed_class::kSlow;
+}
+
+// The workers that a gang may use, tried in this order until it fits. A gang is lost with any of
+// its members and goes at the pace of the slowest. If it needs a single slow worker, the speed of
+// the others doesn't matter.
 constexpr std::array kGangStages{
-  &IsSoundAndNotSlow,
+  &IsSteadyAndNotSlow,
+  &IsSteady,
   &HasNoFailures,
   +[](const worker_entry&) { return true; },
 };
--- a/src/libwork/work_rates.cpp
+++ b/src/libwork/work_rates.cpp
@@ -109,4 +109,18 @@
   }
 }
 
+void work_core::state::UpdateWorkerPresence(instant aNow)
+{
+  if (!mOptions.mParts.mWorkerRates) {
+    return;
+  }
+  for (const std::string& each : mPresence.Update(aNow)) {
+    EmitEvent(work_event_kind::kWorkerFlaps, {}, {}, each, "went away twice within 10 s");
+  }
+  for (auto& [id, worker] : mWorkers) {
+    worker.mIsFlapping = mPresence.IsFlapping(id, aNow);
+    worker.mHasJustReturned = mPresence.HasJustReturned(id, aNow);
+  }
+}
+
 } // namespace briarwind
--- a/src/libwork/work_rates_test.cpp
+++ b/src/libwork/work_rates_test.cpp
@@ -216,3 +216,111 @@
   }
   BW_CHECK(fleet.mViolations.empty());
 }
+
+namespace {
+
+// Takes the first workers away, with their runs, or brings them back.
+void SetAway(fleet_simulation& aFleet, int aCount, bool aAway)
+{
+  for (int i = 0; i < aCount; ++i) {
+    aFleet.SetListed(i, !aAway);
+    aFleet.SetPartitioned(i, aAway);
+    if (aAway) {
+      aFleet.Worker(i).Crash(aFleet.Now());
+    }
+  }
+}
+
+// Lets the first two workers go down and up every 1.4 s.
+void FlapOnce(fleet_simulation& aFleet)
+{
+  SetAway(aFleet, 2, true);
+  aFleet.Run(milliseconds(1'400));
+  SetAway(aFleet, 2, false);
+  aFleet.Run(milliseconds(300));
+}
+
+} // namespace
+
+// Load: gangs of three workers arrive one after the other on eight workers, two of which go down and
+// up every 1.4 s. Guards against gangs that are lost again and again with a worker that flaps while
+// others are free. The flapping workers have the lowest ids, so they would come first.
+BW_STORY("two workers flap while gangs arrive")
+{
+  work_options options;
+  const auto run = [&] {
+    fleet_simulation fleet(8, 1, options);
+    fleet.Run(milliseconds(200));
+    for (int i = 0; i < 2; ++i) {
+      FlapOnce(fleet);
+      fleet.Run(milliseconds(1'100));
+    }
+    for (int i = 0; i < 6; ++i) {
+      FlapOnce(fleet);
+      fleet.Submit(Gang(fmt::format("g{}", i), "batch", 3, 8), milliseconds(4'000));
+      fleet.Run(milliseconds(1'100));
+    }
+    fleet.Run(milliseconds(4'000));
+    int starts = 0;
+    for (int i = 0; i < 6; ++i) {
+      starts += fleet.Starts(fmt::format("g{}", i));
+    }
+    BW_CHECK(fleet.mViolations.empty());
+    return std::pair(starts, fleet.Events(work_event_kind::kWorkerFlaps, 0));
+  };
+  BW_SECTION("each gang starts once")
+  {
+    BW_CHECK(std::pair(18, 1) == run());
+  }
+  BW_SECTION("without the part, gangs are lost and started again")
+  {
+    options.mParts.mWorkerRates = false;
+    const auto [starts, events] = run();
+    BW_CHECK(starts > 18);
+    BW_EQUAL(0, events);
+  }
+}
+
+// Load: one gang or step on eight idle workers, two of which were away. Guards against holding back
+// work because of it, and against using a worker that flaps while another is free.
+BW_STORY("two workers were away")
+{
+  fleet_simulation fleet(8, 1);
+  fleet.Run(milliseconds(200));
+  FlapOnce(fleet);
+
+  BW_SECTION("a gang does not use them for 5 s, other work does")
+  {
+    fleet.Submit(Gang("gang", "batch", 4, 8));
+    fleet.Run(milliseconds(300));
+    BW_EQUAL(0, StartsOnFirst(fleet, 2));
+    fleet.Submit(Job("single", "batch", { Step(1, 8) }));
+    fleet.Run(milliseconds(300));
+    BW_EQUAL(1, StartsOnFirst(fleet, 2));
+    fleet.Run(milliseconds(4'500));
+    fleet.Submit(Gang("later", "batch", 4, 8));
+    fleet.Run(milliseconds(300));
+    BW_EQUAL(3, StartsOnFirst(fleet, 2));
+  }
+  BW_SECTION("a gang that needs them starts at once")
+  {
+    fleet.Submit(Gang("gang", "batch", 8, 8));
+    fleet.Run(milliseconds(300));
+    BW_EQUAL(8, fleet.LiveRuns("gang"));
+  }
+  BW_SECTION("after a second absence they are used last for all work, until 10 s have passed")
+  {
+    FlapOnce(fleet);
+    fleet.Submit(Job("single", "batch", { Step(6, 8) }));
+    fleet.Run(milliseconds(300));
+    BW_EQUAL(0, StartsOnFirst(fleet, 2));
+    fleet.Submit(Job("more", "batch", { Step(1, 8) }));
+    fleet.Run(milliseconds(300));
+    BW_EQUAL(1, StartsOnFirst(fleet, 2));
+    fleet.Run(milliseconds(10'000));
+    fleet.Submit(Job("later", "batch", { Step(1, 8) }));
+    fleet.Run(milliseconds(300));
+    BW_EQUAL(2, StartsOnFirst(fleet, 2));
+  }
+  BW_CHECK(fleet.mViolations.empty());
+}
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -234,6 +234,7 @@
 void work_core::state::PlaceAll(instant aNow)
 {
   UpdateWorkerRates(aNow);
+  UpdateWorkerPresence(aNow);
   std::vector<ready_unit> units = ReadyUnits(aNow);
   for (ready_unit& unit : units) {
     ConvertClaims(unit, aNow);
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -3,6 +3,7 @@
 #include "organisation_ledger.h"
 #include "queue_order.h"
 #include "run_time_estimates.h"
+#include "worker_presence.h"
 #include "worker_rates.h"
 
 #include "briarwind/work_core.h"
@@ -187,6 +188,8 @@
   std::string mPenalisedForJob; ///< job of the failure that last led to a quarantine
   instant mStalledSince;        ///< when a stalled run was detected; instant(): none
   speed_class mSpeed = speed_class::kUsual; ///< as of the present decision pass
+  bool mIsFlapping = false;      ///< went away repeatedly, as of the present decision pass
+  bool mHasJustReturned = false; ///< after an absence, as of the present decision pass
 
   /// What orphans take of their organisations' limits.
   std::vector<std::pair<std::string, task_demand>> mOrphanUse;
@@ -246,6 +249,7 @@
   run_time_estimates mRunTimes;
   worker_rates mRates;
   instant mRatesUpdatedAt;
+  worker_presence mPresence;
 
   // work_jobs.cpp
   void RestoreJob(job_entry& aJob, const stored_job& aStored, instant aNow);
@@ -313,6 +317,7 @@
   void LearnWorkerRate(const worker_entry& aWorker, const run_id& aId, const run_entry& aRun,
                        instant aNow);
   void UpdateWorkerRates(instant aNow);
+  void UpdateWorkerPresence(instant aNow);
 
   // work_departure.cpp
   void UpdateDeparture(worker_entry& aWorker, instant aNow);
