--- a/src/libcontrol/work_event_log.cpp
+++ b/src/libcontrol/work_event_log.cpp
@@ -31,6 +31,12 @@
       return kWorkWorkerQuarantined;
     case work_event_kind::kWaitsForLimit:
       return kWorkWaitsForLimit;
+    case work_event_kind::kWorkerSlow:
+      return kWorkWorkerSlow;
+    case work_event_kind::kWorkerNotSlow:
+      return kWorkWorkerNotSlow;
+    case work_event_kind::kWorkerFlaps:
+      return kWorkWorkerFlaps;
   }
   return kWorkLost;
 }
--- a/src/libwork/testing/simulated_worker.h
+++ b/src/libwork/testing/simulated_worker.h
@@ -48,8 +48,8 @@
   bool mFailsAll = false;
   bool mStalled = false;
   bool mShowsStartup = true; ///< long-running tasks report a rising percentage during startup
-  int mSlowdown = 1;         ///< factor by which the run times are multiplied
-  int mStarted = 0;          ///< number of runs started on the worker
+  double mSlowdown = 1; ///< factor by which the run times are multiplied
+  int mStarted = 0;     ///< number of runs started on the worker
 
   milliseconds Clock(instant aNow) const;
 
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -19,6 +19,9 @@
 constexpr int kOverdueFactor = 3;
 // A worker that completed a run within this time is unlikely to fail all its runs.
 constexpr milliseconds kRecentSuccess{ 3'000 };
+// A run that has less than this many times its expected time left may miss its objective on a slow
+// worker: tasks of one step differ by 30%, and slow workers take 1.25 times as long.
+constexpr double kNearObjectiveFactor = 1.5;
 // A gang that has waited this long for its organisation's limit holds back the organisation's other
 // units of its rank and below. Shorter waits are common while runs end one after the other.
 constexpr milliseconds kGangLimitWait{ 2'000 };
@@ -155,6 +158,8 @@
           unit.mFitsShape = mOptions.mParts.mShapeFit;
           const milliseconds expected = ExpectedRunTime(job.mSpec, job.mSpec.mSteps[step]);
           unit.mIsLate = mOptions.mParts.mLateLast && aNow + expected > unit.mObjective;
+          unit.mIsNearObjective = mOptions.mParts.mWorkerRates &&
+                                  aNow + kNearObjectiveFactor * expected > unit.mObjective;
           unit.mBeyondRate = IsBeyondRate(job, unit.mObjective, aNow);
           unit.mRank = queue.mPriority == 0
                          ? kRankUrgent
@@ -229,6 +234,8 @@
 
 void work_core::state::PlaceAll(instant aNow)
 {
+  UpdateWorkerRates(aNow);
+  UpdateWorkerPresence(aNow);
   std::vector<ready_unit> units = ReadyUnits(aNow);
   for (ready_unit& unit : units) {
     ConvertClaims(unit, aNow);
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -4,6 +4,8 @@
 #include "queue_order.h"
 #include "run_pace.h"
 #include "run_time_estimates.h"
+#include "worker_presence.h"
+#include "worker_rates.h"
 
 #include "briarwind/work_core.h"
 
@@ -152,6 +154,8 @@
   instant mStartedAt;
   run_pace mPace;
   int mEarlierStalls = 0; ///< earlier runs of the task that were stopped as stalled
+  bool mShowsRate = false; ///< its pace is evidence of its worker's speed
+  pace_meter mPaceMeter;   ///< read only if mShowsRate
 };
 
 struct worker_entry
@@ -181,6 +185,9 @@
   instant mAvoidedUntil;        ///< its runs slowed down; it receives no new runs until this time
   std::string mPenalisedForJob; ///< job of the failure that last led to a quarantine
   instant mStalledSince;        ///< when a stalled run was detected; instant(): none
+  speed_class mSpeed = speed_class::kUsual; ///< as of the present decision pass
+  bool mIsFlapping = false;      ///< went away repeatedly, as of the present decision pass
+  bool mHasJustReturned = false; ///< after an absence, as of the present decision pass
 
   /// What orphans take of their organisations' limits.
   std::vector<std::pair<std::string, task_demand>> mOrphanUse;
@@ -212,6 +219,8 @@
   bool mBeyondRate = false;
   /// Cannot meet its objective any more, so it comes behind others of its rank that can.
   bool mIsLate = false;
+  /// May miss its objective, so it is placed on the faster workers.
+  bool mIsNearObjective = false;
 
   const work_step& Spec() const;
   step_entry& Entry() const;
@@ -245,6 +254,9 @@
   run_time_estimates mRunTimes;
   /// Jobs that are within their organisation's guarantee, as of the placement pass.
   std::set<std::string> mGuaranteedJobs;
+  worker_rates mRates;
+  instant mRatesUpdatedAt;
+  worker_presence mPresence;
 
   // work_jobs.cpp
   void RestoreJob(job_entry& aJob, const stored_job& aStored, instant aNow);
@@ -307,6 +319,17 @@
   void AvoidSlowWorker(worker_entry& aWorker, instant aNow);
   void Quarantine(worker_entry& aWorker, instant aNow, std::string_view aReason);
 
+  // work_rates.cpp
+  /// Whether a run of the step on this worker is evidence of the worker's speed.
+  bool ShowsRate(const worker_entry& aWorker, const work_step& aStep) const;
+  void MeasurePace(const worker_entry& aWorker, const run_id& aId, run_entry& aRun, int aPercent,
+                   instant aNow);
+  std::vector<worker_pace> PacesOfOtherTasks(const worker_entry& aWorker, const run_id& aId);
+  void LearnWorkerRate(const worker_entry& aWorker, const run_id& aId, const run_entry& aRun,
+                       instant aNow);
+  void UpdateWorkerRates(instant aNow);
+  void UpdateWorkerPresence(instant aNow);
+
   // work_departure.cpp
   void UpdateDeparture(worker_entry& aWorker, instant aNow);
   bool IsExpectedToEndBy(const run_id& aRun, const run_entry& aEntry, instant aBy);
