A step's image and latency target, and the figure of a listed run

Cause: interference between tasks is to be judged by image and by the tail of a serving task's response times; the submission's `image` and `target_ms` and the fifth entry of a report's rows were not read.

Ruled out: refusing long images. A caller that is served today would get 400 for a field that only orders workers; the consumer cuts the name off.

A job without the fields is stored as the former build stores it.

--- a/src/include/briarwind/work_model.h
+++ b/src/include/briarwind/work_model.h
@@ -74,6 +74,10 @@
   /// Of a long-running step: how many tasks may be down at once through voluntary disruption by
   /// the scheduler.
   int mMaxUnavailable = 0;
+  std::string mImage; ///< what the tasks run; tasks of one image behave alike. Empty: not given
+  /// Of a long-running step that serves requests: the tail of its response times must stay below
+  /// this. 0: no target.
+  milliseconds mLatencyTarget{ 0 };
 
   bool operator==(const work_step&) const = default;
 };
@@ -217,6 +221,9 @@
   run_id mRun;
   std::string mCheckpoint;
   int mPercent = 0; ///< progress
+  /// Of a task with a latency target: the tail of its response times in milliseconds; of any other:
+  /// the cores in use. -1: not reported.
+  std::int64_t mFigure = -1;
 };
 
 /// An ended run in a worker's report.
--- a/src/libwork/work_record.cpp
+++ b/src/libwork/work_record.cpp
@@ -228,6 +228,10 @@
   setText("data_rack", aStep.mDataRack);
   setNumber("per_worker", aStep.mPerWorkerLimit);
   setNumber("may_miss", aStep.mMaxUnavailable);
+  setText("image", aStep.mImage);
+  if (aStep.mLatencyTarget.count() > 0) {
+    object["latency_target_ms"] = aStep.mLatencyTarget.count();
+  }
   return object;
 }
 
@@ -250,6 +254,8 @@
   step.mDataRack = TextField(aObject, "data_rack");
   step.mPerWorkerLimit = static_cast<int>(NumberField(aObject, "per_worker"));
   step.mMaxUnavailable = static_cast<int>(NumberField(aObject, "may_miss"));
+  step.mImage = TextField(aObject, "image");
+  step.mLatencyTarget = milliseconds(NumberField(aObject, "latency_target_ms"));
   return step;
 }
 
--- a/src/libwork/work_record_test.cpp
+++ b/src/libwork/work_record_test.cpp
@@ -59,3 +59,23 @@
     BW_EQUAL(1, record.value().mTasks[1].mFailures);
   }
 }
+
+// Guards against an accepted job of the former version that becomes unreadable, and against image
+// and latency target being lost between the host that accepts a job and the leader.
+BW_STORY("an accepted job is stored with and without the fields on interference")
+{
+  work_job job = Job("a", "batch", { Step(2, 1) });
+  BW_SECTION("without them the record has the former version's form")
+  {
+    const std::string stored = FormatWorkJob(job);
+    BW_CHECK(stored.find("image") == std::string::npos);
+    BW_CHECK(stored.find("latency") == std::string::npos);
+    BW_CHECK(ToIoResult([&] { return ParseWorkJob(stored); }).value() == job);
+  }
+  BW_SECTION("with them both are read back")
+  {
+    job.mSteps[0].mImage = "resize:3";
+    job.mSteps[0].mLatencyTarget = milliseconds(40);
+    BW_CHECK(ToIoResult([&] { return ParseWorkJob(FormatWorkJob(job)); }).value() == job);
+  }
+}
