Tasks that slow each other down are placed apart where there is room

Cause: best fit fills up workers whatever runs there, so kinds that slow each other down stay together while other workers have room.

Ruled out: a constraint on placement, since it would let work wait; evicting or moving runs; counting gangs, best-effort tasks and tasks away from their data as evidence, since other causes set their pace.

AvailableWorkers has one more term, after failures and before best fit: workers with a kind that interferes come later. Each worker counts its runs by kind, so the term costs the number of kinds there, and nothing while no pair is known. Part `interference` of work_parts, default on. Events BW6135 to BW6137, decisions counted by kind, gauge briarwind_node_interfering_pairs. The simulated fleet can slow tasks of two images beside each other.

--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -25,6 +25,7 @@
   bool mShapeFit = true;     ///< best fit over all resources rather than accelerators first
   bool mAwaitEnds = true;    ///< wait for runs that end soon rather than stop others
   bool mSpareInTime = true;  ///< prefer to preempt work that is late already
+  bool mInterference = true; ///< keep tasks apart that slow each other down, where there is room
 
   bool operator==(const work_parts&) const = default;
 };
@@ -121,18 +122,21 @@
 
 enum class work_event_kind : std::uint8_t
 {
-  kJobKnown,          ///< a job was added
-  kStarted,           ///< the placement is stored and the start order is sent
-  kStartFailed,       ///< a start order was refused or not answered
-  kEnded,             ///< a run ended
-  kEvicted,           ///< a run is stopped in favour of another job
-  kStopped,           ///< a run is stopped for another reason
-  kLost,              ///< a run disappeared without reporting its end
-  kJobOver,           ///< a job reached a final state
-  kWorkerRestored,    ///< a worker answered a poll, the first or after an unanswered one
-  kWorkerLost,        ///< the leases of an unresponsive worker have expired
-  kWorkerQuarantined, ///< a worker receives no new runs for a while
-  kWaitsForLimit,     ///< the limit of its organisation keeps tasks of a job from starting
+  kJobKnown,              ///< a job was added
+  kStarted,               ///< the placement is stored and the start order is sent
+  kStartFailed,           ///< a start order was refused or not answered
+  kEnded,                 ///< a run ended
+  kEvicted,               ///< a run is stopped in favour of another job
+  kStopped,               ///< a run is stopped for another reason
+  kLost,                  ///< a run disappeared without reporting its end
+  kJobOver,               ///< a job reached a final state
+  kWorkerRestored,        ///< a worker answered a poll, the first or after an unanswered one
+  kWorkerLost,            ///< the leases of an unresponsive worker have expired
+  kWorkerQuarantined,     ///< a worker receives no new runs for a while
+  kWaitsForLimit,         ///< the limit of its organisation keeps tasks of a job from starting
+  kInterferenceLearned,   ///< one kind of task is known to slow another one down
+  kInterferenceApplied,   ///< a placement was changed for a pair of kinds, the first since learned
+  kInterferenceForgotten, ///< the pair of kinds no longer interferes, or not enough is known of it
 };
 
 /// Name of the event kind in logs and metrics.
@@ -294,6 +298,8 @@
   work_counts Counts() const;
   /// Of the organisations for which the operators have set a weight or a limit.
   std::vector<organisation_use> OrganisationUse() const;
+  /// Number of pairs of kinds of tasks that are known to interfere; bounded.
+  std::size_t InterferingPairs() const;
 
 private:
   struct state;
--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -38,6 +38,9 @@
   kWorkForgotten,
   kWorkNotRemoved,
   kWorkWaitsForLimit,
+  kWorkInterferenceLearned,
+  kWorkInterferenceApplied,
+  kWorkInterferenceForgotten,
   kJobAccepted,
   kJobRefused,
   kJobOutcomeUnclear,
@@ -57,12 +60,12 @@
 };
 
 constexpr std::array kMetrics{
-  kStoreCalls,       kStoreFailures, kStoreRelists,     kStoreRelays,
-  kWorkDecisionTime, kWorkWriteTime, kWorkWriteRetries, kWorkRemovalRetries,
-  kStartOrders,      kStopOrders,    kWorkPolls,        kRegistryUnreadableEntries,
-  kAdviceCalls,      kCoreDecisions, kCallerCalls,      kCallerRefusals,
-  kHttpRefusals,     kCallerTime,    kPeerCalls,        kOrganisationUse,
-  kOrganisationLimit,
+  kStoreCalls,        kStoreFailures,    kStoreRelists,     kStoreRelays,
+  kWorkDecisionTime,  kWorkWriteTime,    kWorkWriteRetries, kWorkRemovalRetries,
+  kStartOrders,       kStopOrders,       kWorkPolls,        kRegistryUnreadableEntries,
+  kAdviceCalls,       kCoreDecisions,    kCallerCalls,      kCallerRefusals,
+  kHttpRefusals,      kCallerTime,       kPeerCalls,        kOrganisationUse,
+  kOrganisationLimit, kInterferingPairs,
 };
 
 } // namespace
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -127,6 +127,21 @@
   "Tasks of a job could start, but the limit of its organisation on the resource in `reason` is "
   "used up; logged once for each wait."
 };
+inline constexpr event_kind kWorkInterferenceLearned{
+  6135, log_level::kInfo, "work.interference-learned",
+  "One kind of task was measured to be slower beside another, as `reason` says; new tasks of both "
+  "are placed on other workers where there is room."
+};
+inline constexpr event_kind kWorkInterferenceApplied{
+  6136, log_level::kInfo, "work.interference-applied",
+  "A task was placed on another worker than `worker`, since the two kinds in `reason` slow each "
+  "other down; logged for the first such placement after the kinds were learned."
+};
+inline constexpr event_kind kWorkInterferenceForgotten{
+  6137, log_level::kInfo, "work.interference-forgotten",
+  "Two kinds of tasks are no longer kept apart: they no longer slow each other down, or were not "
+  "measured beside each other for a while."
+};
 inline constexpr event_kind kJobAccepted{
   6201, log_level::kInfo, "caller.accepted",
   "A job is stored and its submission is acknowledged to the caller."
@@ -248,6 +263,10 @@
   "Limit on what an organisation may have in use, by organisation and resource, at the leader; 0 "
   "for no limit."
 };
+inline constexpr metric_kind kInterferingPairs{
+  metric_type::kGauge, "briarwind_node_interfering_pairs", "",
+  "Pairs of kinds of tasks that the leader keeps apart where there is room, at most 256."
+};
 inline constexpr metric_kind kCallerCalls{ metric_type::kCounter,
                                            "briarwind_node_caller_calls_total", "outcome",
                                            "Calls of callers by outcome." };
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -274,6 +274,7 @@
 // Organisations beyond the number of gauges are summed up.
 void work_driver::ReportOrganisationUse()
 {
+  mMetrics.Set(kInterferingPairs, static_cast<double>(mCore.InterferingPairs()));
   std::map<std::string, organisation_use> reported;
   for (const organisation_use& each : mCore.OrganisationUse()) {
     const bool full = reported.size() >= kMaxReportedOrganisations;
--- a/src/libcontrol/work_event_log.cpp
+++ b/src/libcontrol/work_event_log.cpp
@@ -31,6 +31,12 @@
       return kWorkWorkerQuarantined;
     case work_event_kind::kWaitsForLimit:
       return kWorkWaitsForLimit;
+    case work_event_kind::kInterferenceLearned:
+      return kWorkInterferenceLearned;
+    case work_event_kind::kInterferenceApplied:
+      return kWorkInterferenceApplied;
+    case work_event_kind::kInterferenceForgotten:
+      return kWorkInterferenceForgotten;
   }
   return kWorkLost;
 }
--- a/src/libwork/testing/fleet_simulation.cpp
+++ b/src/libwork/testing/fleet_simulation.cpp
@@ -98,6 +98,43 @@
   Core().SetSettings(mSettings, mNow);
 }
 
+void fleet_simulation::SetInterference(const std::string& aLeft, const std::string& aRight,
+                                       int aFactor)
+{
+  mInterference[{ aLeft, aRight }] = aFactor;
+  mInterference[{ aRight, aLeft }] = aFactor;
+}
+
+const std::string& fleet_simulation::ImageOf(const run_id& aRun) const
+{
+  const work_job& job = mJobs.at(aRun.mTask.mJob);
+  return job.mSteps.at(static_cast<std::size_t>(aRun.mTask.mStep)).mImage;
+}
+
+void fleet_simulation::ApplyInterference(simulated_worker& aWorker)
+{
+  if (mInterference.empty()) {
+    return;
+  }
+  std::set<std::string> images;
+  for (const auto& [id, run] : aWorker.mRuns) {
+    images.insert(ImageOf(id));
+  }
+  for (auto& [id, run] : aWorker.mRuns) {
+    run.mSlowdown = 1;
+    for (const std::string& each : images) {
+      const auto found = mInterference.find({ ImageOf(id), each });
+      run.mSlowdown = std::max(run.mSlowdown, found == mInterference.end() ? 1 : found->second);
+    }
+  }
+}
+
+int fleet_simulation::Events(work_event_kind aKind) const
+{
+  const auto found = mEvents.find(aKind);
+  return found == mEvents.end() ? 0 : found->second;
+}
+
 void fleet_simulation::SetPartitioned(int aWorker, bool aPartitioned)
 {
   const auto index = static_cast<std::size_t>(aWorker);
@@ -137,6 +174,7 @@
 {
   mNow += kTimeStep;
   for (auto& worker : mWorkers) {
+    ApplyInterference(*worker);
     worker->Advance(mNow);
     for (const listed_end& end : worker->mEnds) {
       if (end.mEndKind == run_end::kDone) {
@@ -171,6 +209,8 @@
   for (const work_action& action : core.TakeActions()) {
     if (const auto* start = std::get_if<start_run>(&action)) {
       Send(aLeader, *start);
+    } else if (const auto* event = std::get_if<work_event>(&action)) {
+      ++mEvents[event->mKind];
     } else if (const auto* request = std::get_if<advice_request>(&action)) {
       Advise(core, *request);
     } else if (const auto* stop = std::get_if<stop_run>(&action)) {
--- a/src/libwork/testing/fleet_simulation.h
+++ b/src/libwork/testing/fleet_simulation.h
@@ -36,6 +36,10 @@
   /// Makes another host the leader. The former leader keeps acting for a while.
   void ChangeLeader();
   void SetSettings(const work_settings& aSettings);
+  /// Tasks of these two images take aFactor times as long while both are on one worker.
+  void SetInterference(const std::string& aLeft, const std::string& aRight, int aFactor);
+  /// Number of events of the kind that the leaders have emitted.
+  int Events(work_event_kind aKind) const;
 
   work_core& Core() { return *mLeader->mCore; }
   instant Now() const { return mNow; }
@@ -95,6 +99,8 @@
   void Advise(work_core& aCore, const advice_request& aRequest);
   void Poll(leader& aLeader);
   void CommitDue();
+  void ApplyInterference(simulated_worker& aWorker);
+  const std::string& ImageOf(const run_id& aRun) const;
   void CheckStart(const start_run& aOrder, std::size_t aWorker);
   void RecordAcknowledged(const simulated_worker& aWorker, std::int64_t aThrough);
   std::size_t IndexOf(const std::string& aWorker) const;
@@ -116,6 +122,8 @@
   std::map<std::string, milliseconds> mRunTimes;
   std::set<std::string> mCancelled;
   std::map<std::string, int> mStarts;
+  std::map<work_event_kind, int> mEvents;
+  std::map<std::pair<std::string, std::string>, int> mInterference;
   std::set<task_id> mEndedDone;
   std::set<task_id> mAcknowledgedDone;
   work_settings mSettings;
--- a/src/libwork/testing/simulated_worker.cpp
+++ b/src/libwork/testing/simulated_worker.cpp
@@ -100,7 +100,7 @@
   if (aRun.mStopping) {
     return aNow - aRun.mStoppedAt >= kStopTime ? std::optional(run_end::kStopped) : std::nullopt;
   }
-  aRun.mLeft -= mStalled ? milliseconds{ 0 } : aPassed / mSlowdown;
+  aRun.mLeft -= mStalled ? milliseconds{ 0 } : aPassed / (mSlowdown * aRun.mSlowdown);
   // A failing run fails at half its run time, before its gang is done.
   if (aRun.mFails && 2 * aRun.mLeft <= aRun.mTotal) {
     return run_end::kFailed;
--- a/src/libwork/testing/simulated_worker.h
+++ b/src/libwork/testing/simulated_worker.h
@@ -33,6 +33,7 @@
     instant mStoppedAt;
     bool mStopping = false;
     bool mFails = false;
+    int mSlowdown = 1; ///< by its neighbours
   };
 
   registered_worker mInfo;
--- a/src/libwork/work_names.cpp
+++ b/src/libwork/work_names.cpp
@@ -65,7 +65,7 @@
 
 std::string_view ToString(work_event_kind aKind)
 {
-  static constexpr std::array<std::string_view, 12> kNames{
+  static constexpr std::array<std::string_view, 15> kNames{
     "job-known",
     "started",
     "start-failed",
@@ -78,6 +78,9 @@
     "worker-lost",
     "worker-quarantined",
     "waits-for-limit",
+    "interference-learned",
+    "interference-applied",
+    "interference-forgotten",
   };
   return NameAt(kNames, aKind);
 }
@@ -95,6 +98,8 @@
                       "wait for runs that end soon rather than stop others" },
     work_part_switch{ "spare-in-time", &work_parts::mSpareInTime,
                       "prefer to preempt work that is late already" },
+    work_part_switch{ "interference", &work_parts::mInterference,
+                      "keep tasks apart that slow each other down, where there is room" },
   };
   return kSwitches;
 }
--- a/src/libwork/work_placement.cpp
+++ b/src/libwork/work_placement.cpp
@@ -12,6 +12,7 @@
 {
   worker_entry* mWorker = nullptr;
   int mSlots = 0;
+  bool mInterferes = false;
 };
 
 int FreeSlots(const worker_entry& aWorker, const ready_unit& aUnit)
@@ -34,14 +35,14 @@
 
 // Best fit: the fullest workers that still have capacity for a task come first, so that entire
 // workers stay free for tasks that need them. Workers without recent failures come before all
-// others.
+// others, and then those whose runs don't interfere with the unit's tasks.
 std::vector<available_worker> AvailableWorkers(const std::vector<worker_entry*>& aWorkers,
                                                const ready_unit& aUnit)
 {
   std::vector<available_worker> available;
   for (worker_entry* worker : aWorkers) {
     if (const int fits = FreeSlots(*worker, aUnit); fits > 0) {
-      available.push_back({ worker, fits });
+      available.push_back({ worker, fits, InterferingKind(*worker, aUnit) != 0 });
     }
   }
   std::ranges::sort(available, [&](const available_worker& aLeft, const available_worker& aRight) {
@@ -50,8 +51,8 @@
       const double emptiness =
         aUnit.mFitsShape ? FreeShare(free, aAvailable.mWorker->mInfo.mCapacity) : 0;
       return std::tuple(aAvailable.mWorker->mFailuresInRow,
-                        aAvailable.mWorker->mLastSuccessAt < aUnit.mPreferSuccessSince, emptiness,
-                        free.mAccelerators, free.mMilliCores,
+                        aAvailable.mWorker->mLastSuccessAt < aUnit.mPreferSuccessSince,
+                        aAvailable.mInterferes, emptiness, free.mAccelerators, free.mMilliCores,
                         std::string_view(aAvailable.mWorker->mInfo.mId));
     };
     return key(aLeft) < key(aRight);
@@ -129,6 +130,25 @@
 
 } // namespace
 
+task_kind InterferingKind(const worker_entry& aWorker, const ready_unit& aUnit)
+{
+  if (aUnit.mInterfering.empty()) {
+    return 0;
+  }
+  const auto found = std::ranges::find_if(aWorker.mKinds, [&](const auto& aKind) {
+    return std::ranges::binary_search(aUnit.mInterfering, aKind.first);
+  });
+  return found == aWorker.mKinds.end() ? 0 : found->first;
+}
+
+const worker_entry* FirstWithoutSeparation(ready_unit aUnit,
+                                           const std::vector<worker_entry*>& aWorkers)
+{
+  aUnit.mInterfering.clear();
+  const std::vector<available_worker> available = AvailableWorkers(aWorkers, aUnit);
+  return available.empty() ? nullptr : available.front().mWorker;
+}
+
 std::vector<int> WaitingTasks(const ready_unit& aUnit)
 {
   std::vector<int> waiting;
--- a/src/libwork/work_reports.cpp
+++ b/src/libwork/work_reports.cpp
@@ -97,6 +97,7 @@
     }
   }
   MeasureRate(aWorker, aRun, aListed.mPercent, aNow);
+  MeasurePace(aWorker, aId, aRun, aListed, aNow);
   if (aRun.mFirstPercent < 0) {
     aRun.mFirstPercent = aListed.mPercent;
     aRun.mFirstReportedAt = aNow;
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -25,6 +25,7 @@
   const auto found = aWorker.mRuns.find(aRun);
   if (found != aWorker.mRuns.end()) {
     aWorker.mUsed -= found->second.mDemand;
+    RemoveKind(aWorker, found->second);
     mLedger.RemoveRun(found->second.mOrganisation, found->second.mLimitedDemand);
     aWorker.mRuns.erase(found);
     mReplan = true;
@@ -327,6 +328,7 @@
 
 void work_core::state::HandleTimeouts(instant aNow)
 {
+  ExpireInterference(aNow);
   for (auto& [id, worker] : mWorkers) {
     if (!worker.mReachable) {
       HandleExpiredLeases(id, worker, aNow);
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -154,6 +154,7 @@
           unit.mMayProbe = mayProbe;
           unit.mPreferSuccessSince = HasFailed(entry) ? aNow - kRecentSuccess : instant();
           unit.mObjective = objective;
+          unit.mInterfering = InterferingKinds(job.mSpec, unit.mStep);
           unit.mFitsShape = mOptions.mParts.mShapeFit;
           const milliseconds expected = ExpectedRunTime(job.mSpec, job.mSpec.mSteps[step]);
           unit.mIsLate = mOptions.mParts.mLateLast && aNow + expected > unit.mObjective;
@@ -299,6 +300,7 @@
     busy ? std::max(mOptions.mLocalityWait, aUnit.Spec().mEstimate) : mOptions.mLocalityWait;
   const bool ignoreLocality = waited >= localityWait;
   const placement_result placed = FindPlaces(aUnit, aTasks, usable, ignoreLocality);
+  RecordSeparation(aUnit, usable, placed.mPlaces);
   AddRuns(aUnit, placed.mPlaces, aNow);
   return placed.mPlaces.size() == aTasks.size();
 }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "interference_model.h"
 #include "organisation_ledger.h"
 #include "queue_order.h"
 #include "run_time_estimates.h"
@@ -129,6 +130,14 @@
   kStopping, ///< a stop was decided, also for runs of unknown state
 };
 
+/// Start of a period in which the kinds of tasks on the run's worker did not change.
+struct pace_window
+{
+  int mPercent = -1;        ///< -1: none has begun
+  milliseconds mClock{ 0 }; ///< on the worker's clock
+  std::int64_t mKindsChange = 0;
+};
+
 /// A run that occupies capacity of a worker. The entry may exist longer than the task refers to it.
 struct run_entry
 {
@@ -154,6 +163,10 @@
   double mBestRate = 0;         ///< highest measured rate, in percent per second
   instant mStartedAt;
   milliseconds mStallTime{ 0 }; ///< time without progress after which the run is stalled
+  task_kind mKind = 0;          ///< for the interference model; 0: none
+  bool mShowsPace = false;      ///< its pace is evidence of what its neighbours do to it
+  milliseconds mLatencyTarget{ 0 };
+  pace_window mPaceWindow;
 };
 
 struct worker_entry
@@ -184,6 +197,9 @@
   std::string mPenalisedForJob; ///< job of the failure that last led to a quarantine
   instant mStalledSince;        ///< when a stalled run was detected; instant(): none
 
+  std::map<task_kind, int> mKinds; ///< of its runs, with their number
+  std::int64_t mKindsChange = 0;   ///< rises when a kind comes or goes
+
   /// What orphans take of their organisations' limits.
   std::vector<std::pair<std::string, task_demand>> mOrphanUse;
 
@@ -206,6 +222,8 @@
   int mRank = 0;      ///< lower ranks are placed first
   /// The job was accepted beyond its organisation's rate and comes behind others of its rank.
   bool mBeyondRate = false;
+  /// Kinds that slow the unit's tasks or are slowed by them, in ascending order.
+  std::vector<task_kind> mInterfering;
   /// Cannot meet its objective any more, so it comes behind others of its rank that can.
   bool mIsLate = false;
 
@@ -238,6 +256,9 @@
   organisation_ledger mLedger;
   acceptance_rate mAcceptances;
   run_time_estimates mRunTimes;
+  interference_model mInterference;
+  std::set<std::pair<task_kind, task_kind>> mSeparated; ///< known pairs that changed a placement
+  instant mInterferenceExpiryAt; ///< when the model's entries are next checked for their age
 
   // work_jobs.cpp
   void RestoreJob(job_entry& aJob, const stored_job& aStored, instant aNow);
@@ -302,6 +323,17 @@
   /// Whether the run's measured progress shows that it ends by then.
   bool EndsSoon(const run_entry& aEntry, instant aBy) const;
 
+  // work_interference.cpp
+  void SetKind(worker_entry& aWorker, run_entry& aRun, const job_entry& aJob, int aStep);
+  void RemoveKind(worker_entry& aWorker, const run_entry& aRun);
+  void MeasurePace(worker_entry& aWorker, const run_id& aId, run_entry& aRun,
+                   const listed_run& aListed, instant aNow);
+  std::vector<task_kind> InterferingKinds(const work_job& aJob, int aStep) const;
+  void RecordSeparation(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers,
+                        const std::vector<std::pair<int, worker_entry*>>& aPlaces);
+  void ExpireInterference(instant aNow);
+  void EmitInterferenceChanges();
+
   // work_limits.cpp
   void AddRun(worker_entry& aWorker, const run_id& aId, run_entry aRun, const job_entry& aJob);
   void AddClaim(worker_entry& aWorker, const job_entry& aJob, const work_step& aStep);
