Best-effort tasks are slowed beside a serving task that misses its target

Cause: a serving task may miss its latency target because of best-effort tasks on its worker, and must not do so for 4 s in a row when it would meet it without them. The only means so far was to stop them.

Ruled out: moving or stopping best-effort tasks at once (their work is lost for what a lower pace cures); a step down to 0 at once (most of the time half the pace will do); a proportional rule (percentages and tails are whole numbers and arrive every 0.8 s); storing the pace (a new leader sets it anew within 3 s).

Change: pace_control lowers the pace of a worker's best-effort tasks in steps of 100, 50, 20 and 0 percent and raises it when there is slack; raises that fail wait twice as long. pace_run orders carry the epoch, are repeated until answered, and are sent only where a job with a latency target is known. A slowed run does not count as stalled or slow, and its run time is not learned. worker_gateway::Pace, POST /pace, part `pacing` of work_parts, default on. Event BW6138, counter briarwind_node_paces_total.

Result: pace_control_test OK (1), work_pacing_test OK (2), work_interference_test OK (2), work_core_test OK (4), work_core_property_test 100 cases, work_driver_test OK (3), caller_protocol_test OK (5). Whatever pace the serving task bears of 0, 20 and 50 percent, its target is missed for less than 4 s at a time over 5 minutes, on paper: reports exactly every 0.8 s, no load that changes.

--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -26,6 +26,7 @@
   bool mAwaitEnds = true;    ///< wait for runs that end soon rather than stop others
   bool mSpareInTime = true;  ///< prefer to preempt work that is late already
   bool mInterference = true; ///< keep tasks apart that slow each other down, where there is room
+  bool mPacing = true;       ///< slow best-effort tasks beside a serving one that misses its target
 
   bool operator==(const work_parts&) const = default;
 };
@@ -120,6 +121,14 @@
   std::string mWorker;
 };
 
+/// Order to let one best-effort run go at a share of its pace.
+struct pace_run
+{
+  run_id mRun;
+  std::string mWorker;
+  int mPercent = 100; ///< 0 to 100; a run starts with 100
+};
+
 enum class work_event_kind : std::uint8_t
 {
   kJobKnown,              ///< a job was added
@@ -137,6 +146,7 @@
   kInterferenceLearned,   ///< one kind of task is known to slow another one down
   kInterferenceApplied,   ///< a placement was changed for a pair of kinds, the first since learned
   kInterferenceForgotten, ///< the pair of kinds no longer interferes, or not enough is known of it
+  kPaceChanged,           ///< the best-effort tasks of a worker are slowed, or go faster again
 };
 
 /// Name of the event kind in logs and metrics.
@@ -153,7 +163,7 @@
   milliseconds mAge{ 0 }; ///< of the worker's last report, or of the job at its end
 };
 
-using work_action = std::variant<start_run, stop_run, advice_request, work_event>;
+using work_action = std::variant<start_run, stop_run, pace_run, advice_request, work_event>;
 
 /// Parameters of the next poll of one worker.
 struct poll_plan
@@ -245,6 +255,7 @@
 
   void OnStarted(const start_run& aOrder, start_outcome aOutcome, instant aSent, instant aNow);
   void OnStopped(const stop_run& aOrder, stop_outcome aOutcome, instant aSent, instant aNow);
+  void OnPaced(const pace_run& aOrder, pace_outcome aOutcome, instant aNow);
   /// @param aAnswer nullopt: the advisor did not answer; the request may be repeated
   void OnAdvice(const advice_request& aRequest, const std::optional<placement_advice>& aAnswer,
                 instant aNow);
--- a/src/include/briarwind/work_model.h
+++ b/src/include/briarwind/work_model.h
@@ -270,4 +270,16 @@
   kUnknown,
 };
 
+enum class pace_outcome : std::uint8_t
+{
+  kPaced,
+  kFenced,
+  kRefused,          ///< also by workers of a version without paces
+  kOtherIncarnation, ///< the worker has restarted since
+  kUnknown,          ///< no answer: the order may have taken effect
+  kHeldBack,         ///< not sent: this host may not send orders at present
+};
+
+std::string_view ToString(pace_outcome aOutcome);
+
 } // namespace briarwind
--- a/src/include/briarwind/worker_gateway.h
+++ b/src/include/briarwind/worker_gateway.h
@@ -24,6 +24,9 @@
   /// Orders the worker to stop a run. The run has ended only when a poll reports its end.
   virtual stop_outcome Stop(const std::string& aAddress, const stop_run& aOrder,
                             std::int64_t aEpoch, instant aDeadline) = 0;
+  /// Sets the share of its pace at which a run goes.
+  virtual pace_outcome Pace(const std::string& aAddress, const pace_run& aOrder,
+                            std::int64_t aEpoch, instant aDeadline) = 0;
   /// Extends leases, acknowledges reported ends and returns the worker's runs. Fails with kConflict
   /// when the worker has seen a higher epoch.
   virtual io_result<worker_report> Poll(const std::string& aWorker, const poll_plan& aPlan,
--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -41,6 +41,7 @@
   kWorkInterferenceLearned,
   kWorkInterferenceApplied,
   kWorkInterferenceForgotten,
+  kWorkPaceChanged,
   kJobAccepted,
   kJobRefused,
   kJobOutcomeUnclear,
@@ -65,7 +66,7 @@
   kStartOrders,       kStopOrders,       kWorkPolls,        kRegistryUnreadableEntries,
   kAdviceCalls,       kCoreDecisions,    kCallerCalls,      kCallerRefusals,
   kHttpRefusals,      kCallerTime,       kPeerCalls,        kOrganisationUse,
-  kOrganisationLimit, kInterferingPairs,
+  kOrganisationLimit, kInterferingPairs, kPaceOrders,
 };
 
 } // namespace
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -142,6 +142,11 @@
   "Two kinds of tasks are no longer kept apart: they no longer slow each other down, or were not "
   "measured beside each other for a while."
 };
+inline constexpr event_kind kWorkPaceChanged{
+  6138, log_level::kInfo, "work.pace-changed",
+  "The best-effort tasks of a worker go at the pace in `reason` from now on, since a serving task "
+  "there misses its latency target or has slack again."
+};
 inline constexpr event_kind kJobAccepted{
   6201, log_level::kInfo, "caller.accepted",
   "A job is stored and its submission is acknowledged to the caller."
@@ -240,6 +245,8 @@
                                            "outcome", "Orders to start a run, by outcome." };
 inline constexpr metric_kind kStopOrders{ metric_type::kCounter, "briarwind_node_stops_total",
                                           "outcome", "Orders to stop a run, by outcome." };
+inline constexpr metric_kind kPaceOrders{ metric_type::kCounter, "briarwind_node_paces_total",
+                                          "outcome", "Orders on the pace of a run, by outcome." };
 inline constexpr metric_kind kWorkPolls{ metric_type::kCounter, "briarwind_node_polls_total",
                                          "outcome",
                                          "Questions to workers about their runs, by outcome." };
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -343,6 +343,8 @@
       PerformStart(*start);
     } else if (const auto* stop = std::get_if<stop_run>(&action)) {
       PerformStop(*stop);
+    } else if (const auto* pace = std::get_if<pace_run>(&action)) {
+      PerformPace(*pace);
     }
     --mOrdersInFlight;
     ScheduleRound();
@@ -417,6 +419,26 @@
   }
 }
 
+void work_driver::PerformPace(const pace_run& aOrder)
+{
+  const int term = mTerm;
+  const std::int64_t epoch = mCore.Epoch();
+  pace_outcome outcome = pace_outcome::kHeldBack;
+  // Checked directly before sending, as for a start.
+  if (mHasTakenOver && !mPaused && mLeadership->MayIssueOrders()) {
+    outcome = mGateway.Pace(mCore.Address(aOrder.mWorker), aOrder, epoch,
+                            monotonic_clock::now() + kOrderTimeout);
+  }
+  mMetrics.Count(kPaceOrders, ToString(outcome));
+  if (!IsCurrentTerm(term)) {
+    return;
+  }
+  mCore.OnPaced(aOrder, outcome, monotonic_clock::now());
+  if (outcome == pace_outcome::kFenced) {
+    HandleFenced(epoch);
+  }
+}
+
 void work_driver::LogWorkEvent(const work_event& aEvent)
 {
   mMetrics.Count(kCoreDecisions, ToString(aEvent.mKind));
--- a/src/libcontrol/work_driver.h
+++ b/src/libcontrol/work_driver.h
@@ -83,6 +83,7 @@
   void Perform(work_action aAction);
   void PerformStart(const start_run& aOrder);
   void PerformStop(const stop_run& aOrder);
+  void PerformPace(const pace_run& aOrder);
   void StartAdviceCalls();
   void LogWorkEvent(const work_event& aEvent);
   void StartPolls();
--- a/src/libcontrol/work_driver_test.cpp
+++ b/src/libcontrol/work_driver_test.cpp
@@ -40,6 +40,10 @@
     std::erase_if(mRunning, [&](const listed_run& aRun) { return aRun.mRun == aOrder.mRun; });
     return stop_outcome::kStopping;
   }
+  pace_outcome Pace(const std::string&, const pace_run&, std::int64_t, instant) override
+  {
+    return pace_outcome::kPaced;
+  }
   io_result<worker_report> Poll(const std::string&, const poll_plan& aPlan, std::int64_t aEpoch,
                                 instant) override
   {
--- a/src/libcontrol/work_event_log.cpp
+++ b/src/libcontrol/work_event_log.cpp
@@ -37,6 +37,8 @@
       return kWorkInterferenceApplied;
     case work_event_kind::kInterferenceForgotten:
       return kWorkInterferenceForgotten;
+    case work_event_kind::kPaceChanged:
+      return kWorkPaceChanged;
   }
   return kWorkLost;
 }
--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -128,6 +128,10 @@
     job.mAddedAt = aNow;
     mState->mAcceptances.Record(job.mSpec.mOrganisation, job.mSpec.mAccepted);
     mState->RestoreJob(job, aJob, aNow);
+    mState->mHasTargets =
+      mState->mHasTargets || std::ranges::any_of(job.mSpec.mSteps, [](const work_step& aStep) {
+        return aStep.mLatencyTarget.count() > 0;
+      });
     mState->EmitEvent(work_event_kind::kJobKnown, job.mSpec.mId, {}, {}, job.mSpec.mQueue,
                       std::chrono::duration_cast<milliseconds>(aWallNow - job.mSpec.mAccepted));
   }
@@ -227,6 +231,14 @@
   }
 }
 
+void work_core::OnPaced(const pace_run& aOrder, pace_outcome aOutcome, instant aNow)
+{
+  const auto worker = mState->mWorkers.find(aOrder.mWorker);
+  if (worker != mState->mWorkers.end()) {
+    mState->HandlePaced(worker->second, aOrder, aOutcome, aNow);
+  }
+}
+
 void work_core::OnReport(const std::string& aWorker, const worker_report& aReport, instant aSent,
                          instant aNow)
 {
--- a/src/libwork/work_interference.cpp
+++ b/src/libwork/work_interference.cpp
@@ -29,14 +29,15 @@
 void work_core::state::SetKind(worker_entry& aWorker, run_entry& aRun, const job_entry& aJob,
                                int aStep)
 {
+  const work_step& step = aJob.mSpec.mSteps[static_cast<std::size_t>(aStep)];
+  aRun.mBestEffort = step.mBestEffort;
+  aRun.mLatencyTarget = step.mLongRunning ? step.mLatencyTarget : milliseconds{ 0 };
   if (!mOptions.mParts.mInterference) {
     return;
   }
-  const work_step& step = aJob.mSpec.mSteps[static_cast<std::size_t>(aStep)];
   const bool remote = !step.mDataRack.empty() && step.mDataRack != aWorker.mInfo.mRack;
   aRun.mKind = mInterference.KindOf(TaskKindName(aJob.mSpec, aStep));
   aRun.mShowsPace = !step.mGang && !step.mBestEffort && !remote;
-  aRun.mLatencyTarget = step.mLongRunning ? step.mLatencyTarget : milliseconds{ 0 };
   if (++aWorker.mKinds[aRun.mKind] == 1) {
     ++aWorker.mKindsChange;
   }
@@ -65,7 +66,8 @@
   const bool measurable = serves ? percent >= kCompletePercent && aListed.mFigure >= 0
                                  : percent < kCompletePercent && aRun.mPercent >= 0;
   pace_window& window = aRun.mPaceWindow;
-  if (!measurable) {
+  // Beside slowed tasks a run shows less than what they do to it at their full pace.
+  if (!measurable || aWorker.mPace.Percent() < kCompletePercent) {
     window.mPercent = -1;
     return;
   }
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -186,6 +186,7 @@
   run.mLastProgressAt = aNow;
   run.mStartedAt = aNow;
   run.mStallTime = StallTime(step, mOptions);
+  run.mPacePercent = -1; // an earlier leader may have set one
   AddRun(worker, aRun, std::move(run), aJob);
   worker.mReachable = false;
 }
@@ -198,8 +199,8 @@
   }
   for (const auto& [id, worker] : mWorkers) {
     const auto first = worker.mRuns.lower_bound(run_id{ { aJob.mSpec.mId, 0, 0, 0 }, 0 });
-    for (auto each = first;
-         each != worker.mRuns.end() && each->first.mTask.mJob == aJob.mSpec.mId; ++each) {
+    for (auto each = first; each != worker.mRuns.end() && each->first.mTask.mJob == aJob.mSpec.mId;
+         ++each) {
       aJob.mStoppingRuns.emplace_back(each->first, id);
     }
   }
--- a/src/libwork/work_names.cpp
+++ b/src/libwork/work_names.cpp
@@ -63,9 +63,17 @@
   return NameAt(kNames, aOutcome);
 }
 
+std::string_view ToString(pace_outcome aOutcome)
+{
+  static constexpr std::array<std::string_view, 6> kNames{
+    "paced", "fenced", "refused", "other-incarnation", "unknown", "held-back",
+  };
+  return NameAt(kNames, aOutcome);
+}
+
 std::string_view ToString(work_event_kind aKind)
 {
-  static constexpr std::array<std::string_view, 15> kNames{
+  static constexpr std::array<std::string_view, 16> kNames{
     "job-known",
     "started",
     "start-failed",
@@ -81,6 +89,7 @@
     "interference-learned",
     "interference-applied",
     "interference-forgotten",
+    "pace-changed",
   };
   return NameAt(kNames, aKind);
 }
@@ -100,6 +109,8 @@
                       "prefer to preempt work that is late already" },
     work_part_switch{ "interference", &work_parts::mInterference,
                       "keep tasks apart that slow each other down, where there is room" },
+    work_part_switch{ "pacing", &work_parts::mPacing,
+                      "slow best-effort tasks beside a serving task that misses its target" },
   };
   return kSwitches;
 }
--- a/src/libwork/work_reports.cpp
+++ b/src/libwork/work_reports.cpp
@@ -54,6 +54,7 @@
     if (run.mPhase == run_phase::kRunning) {
       run.mPhase = run_phase::kRestored;
       run.mPhaseSince = aNow;
+      run.mPacePercent = -1;
     }
   }
 }
@@ -96,7 +97,15 @@
       reason = "another member of its gang ended";
     }
   }
-  MeasureRate(aWorker, aRun, aListed.mPercent, aNow);
+  if (IsSlowed(aWorker, aRun)) {
+    // Neither its speed nor the lack of progress says anything about its worker.
+    aRun.mLastProgressAt = aNow;
+    aRun.mRatePercent = -1;
+    aRun.mFromStart = false;
+  } else {
+    MeasureRate(aWorker, aRun, aListed.mPercent, aNow);
+  }
+  aRun.mFigure = aListed.mFigure;
   MeasurePace(aWorker, aId, aRun, aListed, aNow);
   if (aRun.mFirstPercent < 0) {
     aRun.mFirstPercent = aListed.mPercent;
@@ -184,6 +193,7 @@
     StopRun(aWorker, run, reason, aNow);
   }
   StopOrphans(aWorker, aReport);
+  SetPaces(aWorker, aNow);
   AdvanceAcknowledged(aWorker);
 }
 
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -334,6 +334,7 @@
       HandleExpiredLeases(id, worker, aNow);
     }
     SendStops(worker, aNow);
+    SendPaces(worker, aNow);
     if (worker.mFailuresInRow > 0 && worker.mProbationUntil <= aNow) {
       ClearFailures(worker);
     }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -2,6 +2,7 @@
 
 #include "interference_model.h"
 #include "organisation_ledger.h"
+#include "pace_control.h"
 #include "queue_order.h"
 #include "run_time_estimates.h"
 
@@ -167,6 +168,11 @@
   bool mShowsPace = false;      ///< its pace is evidence of what its neighbours do to it
   milliseconds mLatencyTarget{ 0 };
   pace_window mPaceWindow;
+  bool mBestEffort = false;
+  std::int64_t mFigure = -1; ///< in the last report
+  int mPacePercent = 100;    ///< last ordered pace that the worker confirmed; -1: not known
+  bool mPaceInFlight = false;
+  instant mPaceRetryAt; ///< an order that was not confirmed is not repeated before this time
 };
 
 struct worker_entry
@@ -200,6 +206,8 @@
   std::map<task_kind, int> mKinds; ///< of its runs, with their number
   std::int64_t mKindsChange = 0;   ///< rises when a kind comes or goes
 
+  pace_control mPace; ///< of its best-effort runs
+
   /// What orphans take of their organisations' limits.
   std::vector<std::pair<std::string, task_demand>> mOrphanUse;
 
@@ -258,6 +266,7 @@
   run_time_estimates mRunTimes;
   interference_model mInterference;
   std::set<std::pair<task_kind, task_kind>> mSeparated; ///< known pairs that changed a placement
+  bool mHasTargets = false;      ///< a job with a latency target was added in this term
   instant mInterferenceExpiryAt; ///< when the model's entries are next checked for their age
 
   // work_jobs.cpp
@@ -323,6 +332,15 @@
   /// Whether the run's measured progress shows that it ends by then.
   bool EndsSoon(const run_entry& aEntry, instant aBy) const;
 
+  // work_pacing.cpp
+  bool MayPace() const { return mOptions.mParts.mPacing && mHasTargets; }
+  /// Whether the run may be going slower than it could because of an order.
+  bool IsSlowed(const worker_entry& aWorker, const run_entry& aRun) const;
+  void SetPaces(worker_entry& aWorker, instant aNow);
+  void SendPaces(worker_entry& aWorker, instant aNow);
+  void HandlePaced(worker_entry& aWorker, const pace_run& aOrder, pace_outcome aOutcome,
+                   instant aNow);
+
   // work_interference.cpp
   void SetKind(worker_entry& aWorker, run_entry& aRun, const job_entry& aJob, int aStep);
   void RemoveKind(worker_entry& aWorker, const run_entry& aRun);
