--- a/src/libwork/work_interference.cpp
+++ b/src/libwork/work_interference.cpp
@@ -156,8 +156,8 @@
     EmitEvent(learned ? work_event_kind::kInterferenceLearned
                       : work_event_kind::kInterferenceForgotten,
               {}, {}, {},
-              fmt::format("{} is {:.0f}% slower beside {}", each.mSlowed, 100 * each.mSlowdown,
-                          each.mBeside));
+              fmt::format("{} is {:.0f}% slower beside {}", each.mSlowed,
+                          100 * std::max(each.mSlowdown, 0.0), each.mBeside));
     if (!learned) {
       mSeparated.erase(std::minmax(each.mPair.mSlowed, each.mPair.mBeside));
     }
--- a/src/libwork/work_interference_test.cpp
+++ b/src/libwork/work_interference_test.cpp
@@ -83,7 +83,7 @@
     fleet.Run(milliseconds(8'000));
     for (int i = 0; i < fleet.WorkerCount(); ++i) {
       if (!fleet.Worker(i).mRuns.empty()) {
-        fleet.Worker(i).mSlowdown = 4;
+        fleet.Worker(i).mSlowdown = 2; // by more the run would count as stalled
         break;
       }
     }
@@ -106,8 +106,7 @@
     fleet.SetInterference("a", "b", 2);
     RunTogether(fleet, milliseconds(20'000));
     BW_CHECK(fleet.Core().InterferingPairs() > 0);
-    // Of the eight workers without "a", every accelerator is taken; three tasks of "a" are left no
-    // place but beside "b".
+    // The eight workers without "a" are filled, so that "d" has room beside "a" only.
     fleet.Cancel("b");
     fleet.Submit(Job("filler", "batch", { Step(8, 8) }), milliseconds(60'000));
     fleet.Run(milliseconds(500));
