A new leader that finds a target missed goes to the lowest pace at once

Cause: the steps take 3 s, and a target may have been missed for seconds before the former leader ended. Together that is more than the 4 s in which best-effort tasks must be out of the way.

Ruled out: the lowest pace after every change of leader, since best-effort tasks would stand still where the target is met.

Change: with restored best-effort runs, the first reported tail of a worker that is over its target orders 0 percent.

--- a/src/libwork/pace_control.cpp
+++ b/src/libwork/pace_control.cpp
@@ -30,6 +30,13 @@
   return kSteps.at(static_cast<std::size_t>(mStep));
 }
 
+void pace_control::SetLowest(instant aNow)
+{
+  mStep = kLastStep;
+  mChangedAt = aNow;
+  mRaiseWait = kFirstRaiseWait;
+}
+
 void pace_control::Apply(double aLoad, instant aNow)
 {
   if (mStep > 0 && aNow - mChangedAt < kEffectTime) {
--- a/src/libwork/pace_control.h
+++ b/src/libwork/pace_control.h
@@ -13,6 +13,8 @@
   /// @param aLoad tail of the response times as a share of its target, of the task that is worst
   ///        off; above 1 the target is missed
   void Apply(double aLoad, instant aNow);
+  /// Goes to the lowest pace at once.
+  void SetLowest(instant aNow);
   /// Called when the worker has no serving task any more.
   void Reset() { *this = {}; }
   /// Share of the full pace in percent, 0 to 100.
--- a/src/libwork/work_pacing.cpp
+++ b/src/libwork/work_pacing.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace briarwind {
 
@@ -32,9 +33,11 @@
   }
   bool hasServing = false;
   bool hasBestEffort = false;
+  bool isRestored = false; // an earlier leader ordered the pace
   std::optional<double> load;
   for (const auto& [id, run] : aWorker.mRuns) {
     hasBestEffort = hasBestEffort || run.mBestEffort;
+    isRestored = isRestored || (run.mBestEffort && run.mPacePercent < 0);
     if (run.mLatencyTarget.count() <= 0) {
       continue;
     }
@@ -49,7 +52,13 @@
   if (!hasServing || !hasBestEffort) {
     aWorker.mPace.Reset();
   } else if (load) {
-    aWorker.mPace.Apply(*load, aNow);
+    // The target may have been missed since before the last leader ended, so that there is no time
+    // for steps.
+    if (!std::exchange(aWorker.mPaceJudged, true) && isRestored && *load > 1) {
+      aWorker.mPace.SetLowest(aNow);
+    } else {
+      aWorker.mPace.Apply(*load, aNow);
+    }
   }
   if (aWorker.mPace.Percent() != before) {
     EmitEvent(work_event_kind::kPaceChanged, {}, {}, aWorker.mInfo.mId,
--- a/src/libwork/work_pacing_test.cpp
+++ b/src/libwork/work_pacing_test.cpp
@@ -154,6 +154,13 @@
     BW_EQUAL(100, test.Pace());
     BW_EQUAL(0, test.mStops);
   }
+  BW_SECTION("a new leader that finds the target missed goes to the lowest pace at once")
+  {
+    test.mBearable = 0;
+    test.Lead(6, test.mRecords);
+    test.Run(1);
+    BW_EQUAL(0, test.Pace());
+  }
 }
 
 // Guards against pace orders to workers that may not have the call, where no task has a target.
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -206,7 +206,8 @@
   std::map<task_kind, int> mKinds; ///< of its runs, with their number
   std::int64_t mKindsChange = 0;   ///< rises when a kind comes or goes
 
-  pace_control mPace; ///< of its best-effort runs
+  bool mPaceJudged = false; ///< a tail was reported in this term beside best-effort runs
+  pace_control mPace;       ///< of its best-effort runs
 
   /// What orphans take of their organisations' limits.
   std::vector<std::pair<std::string, task_demand>> mOrphanUse;
