--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -26,6 +26,8 @@
   bool mSpareInTime = true;  ///< prefer to preempt work that is late already
   bool mReservations = true; ///< hold racks for gangs that wait
   bool mWorkerRates = true;  ///< order workers by their measured speed and by their absences
+  bool mInterference = true; ///< keep tasks apart that slow each other down, where there is room
+  bool mPacing = true;       ///< slow best-effort tasks beside a serving one that misses its target
 
   bool operator==(const work_parts&) const = default;
 };
@@ -118,23 +120,35 @@
   std::string mWorker;
 };
 
+/// Order to let one best-effort run go at a share of its pace.
+struct pace_run
+{
+  run_id mRun;
+  std::string mWorker;
+  int mPercent = 100; ///< 0 to 100; a run starts with 100
+};
+
 enum class work_event_kind : std::uint8_t
 {
-  kJobKnown,          ///< a job was added
-  kStarted,           ///< the placement is stored and the start order is sent
-  kStartFailed,       ///< a start order was refused or not answered
-  kEnded,             ///< a run ended
-  kEvicted,           ///< a run is stopped in favour of another job
-  kStopped,           ///< a run is stopped for another reason
-  kLost,              ///< a run disappeared without reporting its end
-  kJobOver,           ///< a job reached a final state
-  kWorkerRestored,    ///< a worker answered a poll, the first or after an unanswered one
-  kWorkerLost,        ///< the leases of an unresponsive worker have expired
-  kWorkerQuarantined, ///< a worker receives no new runs for a while
-  kWaitsForLimit,     ///< the limit of its organisation keeps tasks of a job from starting
-  kWorkerSlow,        ///< a worker's runs take longer than their steps' other tasks
-  kWorkerNotSlow,     ///< a slow worker is of the usual speed again, or no longer judged
-  kWorkerFlaps,       ///< a worker went away repeatedly within a short time
+  kJobKnown,              ///< a job was added
+  kStarted,               ///< the placement is stored and the start order is sent
+  kStartFailed,           ///< a start order was refused or not answered
+  kEnded,                 ///< a run ended
+  kEvicted,               ///< a run is stopped in favour of another job
+  kStopped,               ///< a run is stopped for another reason
+  kLost,                  ///< a run disappeared without reporting its end
+  kJobOver,               ///< a job reached a final state
+  kWorkerRestored,        ///< a worker answered a poll, the first or after an unanswered one
+  kWorkerLost,            ///< the leases of an unresponsive worker have expired
+  kWorkerQuarantined,     ///< a worker receives no new runs for a while
+  kWaitsForLimit,         ///< the limit of its organisation keeps tasks of a job from starting
+  kInterferenceLearned,   ///< one kind of task is known to slow another one down
+  kInterferenceApplied,   ///< a placement was changed for a pair of kinds, the first since learned
+  kInterferenceForgotten, ///< the pair of kinds no longer interferes, or not enough is known of it
+  kPaceChanged,           ///< the best-effort tasks of a worker are slowed, or go faster again
+  kWorkerSlow,            ///< a worker's runs take longer than their steps' other tasks
+  kWorkerNotSlow,         ///< a slow worker is of the usual speed again, or no longer judged
+  kWorkerFlaps,           ///< a worker went away repeatedly within a short time
 };
 
 /// Name of the event kind in logs and metrics.
@@ -151,7 +165,7 @@
   milliseconds mAge{ 0 }; ///< of the worker's last report, or of the job at its end
 };
 
-using work_action = std::variant<start_run, stop_run, advice_request, work_event>;
+using work_action = std::variant<start_run, stop_run, pace_run, advice_request, work_event>;
 
 /// Parameters of the next poll of one worker.
 struct poll_plan
@@ -243,6 +257,7 @@
 
   void OnStarted(const start_run& aOrder, start_outcome aOutcome, instant aSent, instant aNow);
   void OnStopped(const stop_run& aOrder, stop_outcome aOutcome, instant aSent, instant aNow);
+  void OnPaced(const pace_run& aOrder, pace_outcome aOutcome, instant aNow);
   /// @param aAnswer nullopt: the advisor did not answer; the request may be repeated
   void OnAdvice(const advice_request& aRequest, const std::optional<placement_advice>& aAnswer,
                 instant aNow);
@@ -296,6 +311,8 @@
   work_counts Counts() const;
   /// Of the organisations for which the operators have set a weight or a limit.
   std::vector<organisation_use> OrganisationUse() const;
+  /// Number of pairs of kinds of tasks that are known to interfere; bounded.
+  std::size_t InterferingPairs() const;
 
 private:
   struct state;
--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -41,6 +41,10 @@
   kWorkWorkerSlow,
   kWorkWorkerNotSlow,
   kWorkWorkerFlaps,
+  kWorkInterferenceLearned,
+  kWorkInterferenceApplied,
+  kWorkInterferenceForgotten,
+  kWorkPaceChanged,
   kJobAccepted,
   kJobRefused,
   kJobOutcomeUnclear,
@@ -61,12 +65,13 @@
 };
 
 constexpr std::array kMetrics{
-  kStoreCalls,        kStoreFailures,  kStoreRelists,     kStoreRelays,
-  kWorkDecisionTime,  kWorkWriteTime,  kWorkWriteRetries, kWorkRemovalRetries,
-  kStartOrders,       kStopOrders,     kWorkPolls,        kRegistryUnreadableEntries,
-  kAdviceCalls,       kCoreDecisions,  kCallerCalls,      kCallerRefusals,
-  kHttpRefusals,      kCallerTime,     kPeerCalls,        kOrganisationUse,
-  kOrganisationLimit, kHttpBudgetUsed, kHttpBudgetTotal,
+  kStoreCalls,        kStoreFailures,    kStoreRelists,     kStoreRelays,
+  kWorkDecisionTime,  kWorkWriteTime,    kWorkWriteRetries, kWorkRemovalRetries,
+  kStartOrders,       kStopOrders,       kWorkPolls,        kRegistryUnreadableEntries,
+  kAdviceCalls,       kCoreDecisions,    kCallerCalls,      kCallerRefusals,
+  kHttpRefusals,      kCallerTime,       kPeerCalls,        kOrganisationUse,
+  kOrganisationLimit, kInterferingPairs, kPaceOrders,       kHttpBudgetUsed,
+  kHttpBudgetTotal,
 };
 
 } // namespace
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -130,8 +130,7 @@
 inline constexpr event_kind kWorkWorkerSlow{
   6130, log_level::kInfo, "work.worker-slow",
   "The runs of a worker take longer than other tasks of the same steps; gangs and work that may "
-  "miss "
-  "its objective get it last. `reason` gives its rate, 1 being the usual."
+  "miss its objective get it last. `reason` gives its rate, 1 being the usual."
 };
 inline constexpr event_kind kWorkWorkerNotSlow{
   6131, log_level::kInfo, "work.worker-not-slow",
@@ -142,6 +141,26 @@
   "A worker went away (stopped answering, left the registry or restarted) twice within 10 s; it is "
   "used last for all work until 10 s pass with at most one absence."
 };
+inline constexpr event_kind kWorkInterferenceLearned{
+  6135, log_level::kInfo, "work.interference-learned",
+  "One kind of task was measured to be slower beside another, as `reason` says; new tasks of both "
+  "are placed on other workers where there is room."
+};
+inline constexpr event_kind kWorkInterferenceApplied{
+  6136, log_level::kInfo, "work.interference-applied",
+  "A task was placed on another worker than `worker`, since the two kinds in `reason` slow each "
+  "other down; logged for the first such placement after the kinds were learned."
+};
+inline constexpr event_kind kWorkInterferenceForgotten{
+  6137, log_level::kInfo, "work.interference-forgotten",
+  "Two kinds of tasks are no longer kept apart: they no longer slow each other down, or were not "
+  "measured beside each other for a while."
+};
+inline constexpr event_kind kWorkPaceChanged{
+  6138, log_level::kInfo, "work.pace-changed",
+  "The best-effort tasks of a worker go at the pace in `reason` from now on, since a serving task "
+  "there misses its latency target or has slack again."
+};
 inline constexpr event_kind kJobAccepted{
   6201, log_level::kInfo, "caller.accepted",
   "A job is stored and its submission is acknowledged to the caller."
@@ -246,6 +265,8 @@
                                            "outcome", "Orders to start a run, by outcome." };
 inline constexpr metric_kind kStopOrders{ metric_type::kCounter, "briarwind_node_stops_total",
                                           "outcome", "Orders to stop a run, by outcome." };
+inline constexpr metric_kind kPaceOrders{ metric_type::kCounter, "briarwind_node_paces_total",
+                                          "outcome", "Orders on the pace of a run, by outcome." };
 inline constexpr metric_kind kWorkPolls{ metric_type::kCounter, "briarwind_node_polls_total",
                                          "outcome",
                                          "Questions to workers about their runs, by outcome." };
@@ -269,6 +290,10 @@
   "Limit on what an organisation may have in use, by organisation and resource, at the leader; 0 "
   "for no limit."
 };
+inline constexpr metric_kind kInterferingPairs{
+  metric_type::kGauge, "briarwind_node_interfering_pairs", "",
+  "Pairs of kinds of tasks that the leader keeps apart where there is room, at most 256."
+};
 inline constexpr metric_kind kCallerCalls{ metric_type::kCounter,
                                            "briarwind_node_caller_calls_total", "outcome",
                                            "Calls of callers by outcome." };
--- a/src/libcontrol/work_event_log.cpp
+++ b/src/libcontrol/work_event_log.cpp
@@ -37,6 +37,14 @@
       return kWorkWorkerNotSlow;
     case work_event_kind::kWorkerFlaps:
       return kWorkWorkerFlaps;
+    case work_event_kind::kInterferenceLearned:
+      return kWorkInterferenceLearned;
+    case work_event_kind::kInterferenceApplied:
+      return kWorkInterferenceApplied;
+    case work_event_kind::kInterferenceForgotten:
+      return kWorkInterferenceForgotten;
+    case work_event_kind::kPaceChanged:
+      return kWorkPaceChanged;
   }
   return kWorkLost;
 }
--- a/src/libwork/testing/simulated_worker.h
+++ b/src/libwork/testing/simulated_worker.h
@@ -37,6 +37,7 @@
     milliseconds mStartup{ 0 };
     int mFromPercent = 0;       ///< percentage of the checkpoint that it was resumed from
     milliseconds mRestore{ 0 }; ///< it reports 0 percent until it has read the checkpoint
+    int mSlowdown = 1;          ///< by its neighbours
   };
 
   registered_worker mInfo;
@@ -48,8 +49,8 @@
   bool mFailsAll = false;
   bool mStalled = false;
   bool mShowsStartup = true; ///< long-running tasks report a rising percentage during startup
-  double mSlowdown = 1; ///< factor by which the run times are multiplied
-  int mStarted = 0;     ///< number of runs started on the worker
+  double mSlowdown = 1;      ///< factor by which the run times are multiplied
+  int mStarted = 0;          ///< number of runs started on the worker
 
   milliseconds Clock(instant aNow) const;
 
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -187,6 +187,7 @@
   run.mPhaseSince = aNow;
   run.mLastProgressAt = aNow;
   run.mStartedAt = aNow;
+  run.mPacePercent = -1; // an earlier leader may have set one
   AddRun(worker, aRun, std::move(run), aJob);
   worker.mReachable = false;
 }
--- a/src/libwork/work_names.cpp
+++ b/src/libwork/work_names.cpp
@@ -63,9 +63,17 @@
   return NameAt(kNames, aOutcome);
 }
 
+std::string_view ToString(pace_outcome aOutcome)
+{
+  static constexpr std::array<std::string_view, 6> kNames{
+    "paced", "fenced", "refused", "other-incarnation", "unknown", "held-back",
+  };
+  return NameAt(kNames, aOutcome);
+}
+
 std::string_view ToString(work_event_kind aKind)
 {
-  static constexpr std::array<std::string_view, 15> kNames{
+  static constexpr std::array<std::string_view, 19> kNames{
     "job-known",
     "started",
     "start-failed",
@@ -78,6 +86,10 @@
     "worker-lost",
     "worker-quarantined",
     "waits-for-limit",
+    "interference-learned",
+    "interference-applied",
+    "interference-forgotten",
+    "pace-changed",
     "worker-slow",
     "worker-not-slow",
     "worker-flaps",
@@ -100,6 +112,10 @@
                       "hold racks for gangs that wait" },
     work_part_switch{ "worker-rates", &work_parts::mWorkerRates,
                       "order workers by their measured speed and by their absences" },
+    work_part_switch{ "interference", &work_parts::mInterference,
+                      "keep tasks apart that slow each other down, where there is room" },
+    work_part_switch{ "pacing", &work_parts::mPacing,
+                      "slow best-effort tasks beside a serving task that misses its target" },
   };
   return kSwitches;
 }
--- a/src/libwork/work_rates_test.cpp
+++ b/src/libwork/work_rates_test.cpp
@@ -242,9 +242,9 @@
 
 } // namespace
 
-// Load: gangs of three workers arrive one after the other on eight workers, two of which go down and
-// up every 1.4 s. Guards against gangs that are lost again and again with a worker that flaps while
-// others are free. The flapping workers have the lowest ids, so they would come first.
+// Load: gangs of three workers arrive one after the other on eight workers, two of which go down
+// and up every 1.4 s. Guards against gangs that are lost again and again with a worker that flaps
+// while others are free. The flapping workers have the lowest ids, so they would come first.
 BW_STORY("two workers flap while gangs arrive")
 {
   work_options options;
--- a/src/libwork/work_record_test.cpp
+++ b/src/libwork/work_record_test.cpp
@@ -117,3 +117,23 @@
     BW_EQUAL(0, core.OrganisationUse().front().mInUse.mAccelerators);
   }
 }
+
+// Guards against an accepted job of the former version that becomes unreadable, and against image
+// and latency target being lost between the host that accepts a job and the leader.
+BW_STORY("an accepted job is stored with and without the fields on interference")
+{
+  work_job job = Job("a", "batch", { Step(2, 1) });
+  BW_SECTION("without them the record has the former version's form")
+  {
+    const std::string stored = FormatWorkJob(job);
+    BW_CHECK(stored.find("image") == std::string::npos);
+    BW_CHECK(stored.find("latency") == std::string::npos);
+    BW_CHECK(ToIoResult([&] { return ParseWorkJob(stored); }).value() == job);
+  }
+  BW_SECTION("with them both are read back")
+  {
+    job.mSteps[0].mImage = "resize:3";
+    job.mSteps[0].mLatencyTarget = milliseconds(40);
+    BW_CHECK(ToIoResult([&] { return ParseWorkJob(FormatWorkJob(job)); }).value() == job);
+  }
+}
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "interference_model.h"
 #include "organisation_ledger.h"
+#include "pace_control.h"
 #include "queue_order.h"
 #include "run_pace.h"
 #include "run_time_estimates.h"
@@ -69,7 +71,7 @@
   instant mReadySince;           ///< since when the step is ready or has a task queued again
   /// Time per percent of the task that progressed last, near its data; nullopt: not measured yet.
   std::optional<milliseconds> mTimePerPercent;
-  bool mReady = false;           ///< all steps that it depends on are done
+  bool mReady = false;                           ///< all steps that it depends on are done
   std::map<std::string, advised_worker> mAdvice; ///< by worker
   bool mAdvicePending = false;                   ///< a request to the advisor is in flight
 
@@ -126,6 +128,14 @@
   kStopping, ///< a stop was decided, also for runs of unknown state
 };
 
+/// Start of a period in which the kinds of tasks on the run's worker did not change.
+struct pace_window
+{
+  int mPercent = -1;        ///< -1: none has begun
+  milliseconds mClock{ 0 }; ///< on the worker's clock
+  std::int64_t mKindsChange = 0;
+};
+
 /// A run that occupies capacity of a worker. The entry may exist longer than the task refers to it.
 struct run_entry
 {
@@ -153,9 +163,18 @@
   double mBestRate = 0;         ///< highest measured rate, in percent per second
   instant mStartedAt;
   run_pace mPace;
-  int mEarlierStalls = 0; ///< earlier runs of the task that were stopped as stalled
+  int mEarlierStalls = 0;  ///< earlier runs of the task that were stopped as stalled
   bool mShowsRate = false; ///< its pace is evidence of its worker's speed
   pace_meter mPaceMeter;   ///< read only if mShowsRate
+  task_kind mKind = 0;     ///< for the interference model; 0: none
+  bool mShowsPace = false; ///< its pace is evidence of what its neighbours do to it
+  milliseconds mLatencyTarget{ 0 };
+  pace_window mPaceWindow;
+  bool mBestEffort = false;
+  std::int64_t mFigure = -1; ///< in the last report
+  int mPacePercent = 100;    ///< last ordered pace that the worker confirmed; -1: not known
+  bool mPaceInFlight = false;
+  instant mPaceRetryAt; ///< an order that was not confirmed is not repeated before this time
 };
 
 struct worker_entry
@@ -189,6 +208,12 @@
   bool mIsFlapping = false;      ///< went away repeatedly, as of the present decision pass
   bool mHasJustReturned = false; ///< after an absence, as of the present decision pass
 
+  std::map<task_kind, int> mKinds; ///< of its runs, with their number
+  std::int64_t mKindsChange = 0;   ///< rises when a kind comes or goes
+
+  bool mPaceJudged = false; ///< a tail was reported in this term beside best-effort runs
+  pace_control mPace;       ///< of its best-effort runs
+
   /// What orphans take of their organisations' limits.
   std::vector<std::pair<std::string, task_demand>> mOrphanUse;
 
@@ -217,6 +242,8 @@
   int mRank = 0;      ///< lower ranks are placed first
   /// The job was accepted beyond its organisation's rate and comes behind others of its rank.
   bool mBeyondRate = false;
+  /// Kinds that slow the unit's tasks or are slowed by them, in ascending order.
+  std::vector<task_kind> mInterfering;
   /// Cannot meet its objective any more, so it comes behind others of its rank that can.
   bool mIsLate = false;
   /// May miss its objective, so it is placed on the faster workers.
@@ -257,6 +284,10 @@
   worker_rates mRates;
   instant mRatesUpdatedAt;
   worker_presence mPresence;
+  interference_model mInterference;
+  std::set<std::pair<task_kind, task_kind>> mSeparated; ///< known pairs that changed a placement
+  bool mHasTargets = false;      ///< a job with a latency target was added in this term
+  instant mInterferenceExpiryAt; ///< when the model's entries are next checked for their age
 
   // work_jobs.cpp
   void RestoreJob(job_entry& aJob, const stored_job& aStored, instant aNow);
@@ -334,6 +365,26 @@
   void UpdateDeparture(worker_entry& aWorker, instant aNow);
   bool IsExpectedToEndBy(const run_id& aRun, const run_entry& aEntry, instant aBy);
 
+  // work_pacing.cpp
+  bool MayPace() const { return mOptions.mParts.mPacing && mHasTargets; }
+  /// Whether the run may be going slower than it could because of an order.
+  bool IsSlowed(const worker_entry& aWorker, const run_entry& aRun) const;
+  void SetPaces(worker_entry& aWorker, instant aNow);
+  void SendPaces(worker_entry& aWorker, instant aNow);
+  void HandlePaced(worker_entry& aWorker, const pace_run& aOrder, pace_outcome aOutcome,
+                   instant aNow);
+
+  // work_interference.cpp
+  void SetKind(worker_entry& aWorker, run_entry& aRun, const job_entry& aJob, int aStep);
+  void RemoveKind(worker_entry& aWorker, const run_entry& aRun);
+  void MeasureInterference(worker_entry& aWorker, const run_id& aId, run_entry& aRun,
+                           const listed_run& aListed, instant aNow);
+  std::vector<task_kind> InterferingKinds(const work_job& aJob, int aStep) const;
+  void RecordSeparation(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers,
+                        const std::vector<std::pair<int, worker_entry*>>& aPlaces);
+  void ExpireInterference(instant aNow);
+  void EmitInterferenceChanges();
+
   // work_limits.cpp
   void AddRun(worker_entry& aWorker, const run_id& aId, run_entry aRun, const job_entry& aJob);
   void AddClaim(worker_entry& aWorker, const job_entry& aJob, const work_step& aStep);
