HTTP sessions own the byte budget that they leave

Cause: the destructor of a session used the server's shared state, which the same fiber function owns; the order in which its captures are destroyed is not specified.

Ruled out: relying on the compiler's order, in which the session goes first.

Change: the session holds the budget itself.

--- a/src/libnet/http_session.cpp
+++ b/src/libnet/http_session.cpp
@@ -182,6 +182,7 @@
 {
   state(tcp::socket aSocket, const http_session_shared& aShared)
     : mShared(aShared)
+    , mBudget(aShared.mBudget)
     , mStream(std::move(aSocket))
     // A header at its limit fits, and so does a chunk header or a trailer of the same length.
     , mBuffer(aShared.mLimits.mHeaderBytes + kFirstReadBytes)
@@ -190,11 +191,11 @@
     beast::error_code ignored;
     mPeer = mStream.socket().remote_endpoint(ignored).address().to_string();
     mHolder.mClose = [this] { mStream.cancel(); };
-    mShared.mBudget->Join(mHolder);
+    mBudget->Join(mHolder);
     mStream.socket().set_option(tcp::no_delay(true), ignored);
   }
 
-  ~state() { mShared.mBudget->Leave(mHolder); }
+  ~state() { mBudget->Leave(mHolder); }
   state(const state&) = delete;
   state& operator=(const state&) = delete;
 
@@ -251,7 +252,7 @@
     }
     mAnnounced = static_cast<std::size_t>(*announced);
     const bool admitted =
-      mShared.mBudget->Admit(mHolder, mBuffer.capacity() + mAnnounced, monotonic_clock::now());
+      mBudget->Admit(mHolder, mBuffer.capacity() + mAnnounced, monotonic_clock::now());
     return admitted ? beast::error_code() : kNotAdmitted;
   }
 
@@ -308,9 +309,8 @@
   beast::error_code CountBytes(const request_parser& aParser)
   {
     const std::size_t body = std::max(mAnnounced, aParser.get().body().capacity());
-    const bool hasRoom =
-      !mHolder.mWasClosed &&
-      mShared.mBudget->Grow(mHolder, mBuffer.capacity() + body, monotonic_clock::now());
+    const bool hasRoom = !mHolder.mWasClosed &&
+                         mBudget->Grow(mHolder, mBuffer.capacity() + body, monotonic_clock::now());
     return hasRoom ? beast::error_code() : kCutOff;
   }
 
@@ -368,7 +368,7 @@
     const wire_response wire = ToWire(aResponse, aKeepAlive);
     mHolder.mSince = mHolder.mLastProgress = monotonic_clock::now();
     mHolder.mIsClosable = !mHolder.mWasClosed;
-    mShared.mBudget->Charge(mHolder, mBuffer.capacity() + wire.body().capacity(), mHolder.mSince);
+    mBudget->Charge(mHolder, mBuffer.capacity() + wire.body().capacity(), mHolder.mSince);
     beast::error_code failed;
     for (unsigned copy = 0; copy < aResponse.mCopies && !failed; ++copy) {
       mStream.expires_after(mShared.mLimits.mWriteTimeout);
@@ -460,7 +460,7 @@
     mHolder.mIsClosable = false;
     mBusy = false;
     mBuffer.shrink_to_fit();
-    mShared.mBudget->Charge(mHolder, mBuffer.capacity(), monotonic_clock::now());
+    mBudget->Charge(mHolder, mBuffer.capacity(), monotonic_clock::now());
     mFinishedAt = monotonic_clock::now();
   }
 
@@ -475,12 +475,14 @@
       return RespondTo(*parser);
     }
     parser.reset();
-    mShared.mBudget->Charge(mHolder, mBuffer.capacity(), monotonic_clock::now());
+    mBudget->Charge(mHolder, mBuffer.capacity(), monotonic_clock::now());
     SendErrorResponse(failed);
     return false;
   }
 
   const http_session_shared& mShared;
+  // Owned, since the destructor leaves it and may run after that of the server's state.
+  std::shared_ptr<byte_budget> mBudget;
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
   std::string mPeer;
