Units that no worker has room for are passed over

Cause: on a full fleet each waiting unit was tested against each worker, of which none had room; a pass over 985 waiting jobs took 76 ms.

Ruled out: an index of workers by free capacity, which placement would have to keep up to date.

Change: a pass remembers up to 64 demands that no worker has room for, and passes over units that need as much or more. The memory is cleared where a run or a claim is removed. Placement finds no place for such a unit either, so that decisions do not change.

--- a/src/libwork/work_limits.cpp
+++ b/src/libwork/work_limits.cpp
@@ -52,6 +52,7 @@
                                    const work_step& aStep)
 {
   aWorker.mClaimed -= CapacityDemand(aStep);
+  mWithoutRoom.clear();
   mLedger.RemoveClaim(aJob.mSpec.mOrganisation, LimitedDemand(aStep));
 }
 
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -27,6 +27,7 @@
     aWorker.mUsed -= found->second.mDemand;
     mLedger.RemoveRun(found->second.mOrganisation, found->second.mLimitedDemand);
     aWorker.mRuns.erase(found);
+    mWithoutRoom.clear();
     mReplan = true;
     if (job_entry* job = FindJob(aRun.mTask.mJob)) {
       std::erase(job->mStoppingRuns, std::pair(aRun, aWorker.mInfo.mId));
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -228,6 +228,7 @@
 
 void work_core::state::PlaceAll(instant aNow)
 {
+  mWithoutRoom.clear();
   std::vector<ready_unit> units = ReadyUnits(aNow);
   for (ready_unit& unit : units) {
     ConvertClaims(unit, aNow);
@@ -284,9 +285,29 @@
   return total;
 }
 
+// On a full fleet thousands of units wait that no worker has room for. Free capacity only shrinks
+// during a pass, except where a run or a claim is removed.
+bool work_core::state::HasRoom(const task_demand& aDemand)
+{
+  constexpr std::size_t kMaxRemembered = 64;
+  const auto needsMore = [&](const task_demand& aEach) { return FitsInto(aEach, aDemand); };
+  if (std::ranges::any_of(mWithoutRoom, needsMore)) {
+    return false;
+  }
+  const bool hasRoom = std::ranges::any_of(
+    mWorkers, [&](const auto& aWorker) { return FitCount(aWorker.second.Free(), aDemand) > 0; });
+  if (!hasRoom && mWithoutRoom.size() < kMaxRemembered) {
+    mWithoutRoom.push_back(aDemand);
+  }
+  return hasRoom;
+}
+
 bool work_core::state::PlaceUnit(ready_unit& aUnit, const std::vector<int>& aTasks, instant aNow)
 {
   RequestAdvice(aUnit, aNow);
+  if (!HasRoom(CapacityDemand(aUnit.Spec()))) {
+    return false;
+  }
   std::vector<worker_entry*> usable;
   for (auto& [id, worker] : mWorkers) {
     if (IsUsable(worker, aUnit, aNow)) {
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -238,6 +238,7 @@
   organisation_ledger mLedger;
   acceptance_rate mAcceptances;
   run_time_estimates mRunTimes;
+  std::vector<task_demand> mWithoutRoom; ///< no worker has room for these, in the present pass
 
   // work_jobs.cpp
   void RestoreJob(job_entry& aJob, const stored_job& aStored, instant aNow);
@@ -337,6 +338,8 @@
   /// Whether the worker may run the unit's step, the advisor's approval aside.
   bool IsEligible(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
   bool IsUsable(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
+  /// Whether any worker has enough free capacity for a task.
+  bool HasRoom(const task_demand& aDemand);
   /// Returns whether all the given tasks, or none of a gang that cannot be placed yet, are placed.
   bool PlaceUnit(ready_unit& aUnit, const std::vector<int>& aTasks, instant aNow);
   void AddRuns(const ready_unit& aUnit, const std::vector<std::pair<int, worker_entry*>>& aPlaces,
