Waits for a limit are counted by resource

Cause: the counter of decisions did not say which resource organisations wait for.

Change: briarwind_node_limit_waits_total with the label resource.

Result: it compiles into briarwind-node and the driver's test passes.

--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -57,12 +57,12 @@
 };
 
 constexpr std::array kMetrics{
-  kStoreCalls,       kStoreFailures, kStoreRelists,     kStoreRelays,
-  kWorkDecisionTime, kWorkWriteTime, kWorkWriteRetries, kWorkRemovalRetries,
-  kStartOrders,      kStopOrders,    kWorkPolls,        kRegistryUnreadableEntries,
-  kAdviceCalls,      kCoreDecisions, kCallerCalls,      kCallerRefusals,
-  kHttpRefusals,     kCallerTime,    kPeerCalls,        kOrganisationUse,
-  kOrganisationLimit,
+  kStoreCalls,        kStoreFailures, kStoreRelists,     kStoreRelays,
+  kWorkDecisionTime,  kWorkWriteTime, kWorkWriteRetries, kWorkRemovalRetries,
+  kStartOrders,       kStopOrders,    kWorkPolls,        kRegistryUnreadableEntries,
+  kAdviceCalls,       kCoreDecisions, kCallerCalls,      kCallerRefusals,
+  kHttpRefusals,      kCallerTime,    kPeerCalls,        kOrganisationUse,
+  kOrganisationLimit, kLimitWaits,
 };
 
 } // namespace
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -248,6 +248,10 @@
   "Limit on what an organisation may have in use, by organisation and resource, at the leader; 0 "
   "for no limit."
 };
+inline constexpr metric_kind kLimitWaits{
+  metric_type::kCounter, "briarwind_node_limit_waits_total", "resource",
+  "Waits of jobs for their organisation's limit by the resource that is used up."
+};
 inline constexpr metric_kind kCallerCalls{ metric_type::kCounter,
                                            "briarwind_node_caller_calls_total", "outcome",
                                            "Calls of callers by outcome." };
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -419,6 +419,9 @@
 void work_driver::LogWorkEvent(const work_event& aEvent)
 {
   mMetrics.Count(kCoreDecisions, ToString(aEvent.mKind));
+  if (aEvent.mKind == work_event_kind::kWaitsForLimit) {
+    mMetrics.Count(kLimitWaits, aEvent.mReason);
+  }
   LogEvent(LogEventFor(aEvent.mKind),
            { Field("job", aEvent.mJob), Field("task", aEvent.mTask),
              Field("worker", aEvent.mWorker), Field("reason", aEvent.mReason),
