--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -71,7 +71,7 @@
   kAdviceCalls,       kCoreDecisions,    kCallerCalls,      kCallerRefusals,
   kHttpRefusals,      kCallerTime,       kPeerCalls,        kOrganisationUse,
   kOrganisationLimit, kInterferingPairs, kPaceOrders,       kHttpBudgetUsed,
-  kHttpBudgetTotal,
+  kHttpBudgetTotal,   kLimitWaits,
 };
 
 } // namespace
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -294,6 +294,10 @@
   metric_type::kGauge, "briarwind_node_interfering_pairs", "",
   "Pairs of kinds of tasks that the leader keeps apart where there is room, at most 256."
 };
+inline constexpr metric_kind kLimitWaits{
+  metric_type::kCounter, "briarwind_node_limit_waits_total", "resource",
+  "Waits of jobs for their organisation's limit by the resource that is used up."
+};
 inline constexpr metric_kind kCallerCalls{ metric_type::kCounter,
                                            "briarwind_node_caller_calls_total", "outcome",
                                            "Calls of callers by outcome." };
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -28,6 +28,7 @@
     RemoveKind(aWorker, found->second);
     mLedger.RemoveRun(found->second.mOrganisation, found->second.mLimitedDemand);
     aWorker.mRuns.erase(found);
+    mWithoutRoom.clear();
     mReplan = true;
     if (job_entry* job = FindJob(aRun.mTask.mJob)) {
       std::erase(job->mStoppingRuns, std::pair(aRun, aWorker.mInfo.mId));
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -237,6 +237,7 @@
 {
   UpdateWorkerRates(aNow);
   UpdateWorkerPresence(aNow);
+  mWithoutRoom.clear();
   std::vector<ready_unit> units = ReadyUnits(aNow);
   for (ready_unit& unit : units) {
     ConvertClaims(unit, aNow);
@@ -300,6 +301,23 @@
   return total;
 }
 
+// On a full fleet thousands of units wait that no worker has room for. Free capacity only shrinks
+// during a pass, except where a run or a claim is removed.
+bool work_core::state::HasRoom(const task_demand& aDemand)
+{
+  constexpr std::size_t kMaxRemembered = 64;
+  const auto needsMore = [&](const task_demand& aEach) { return FitsInto(aEach, aDemand); };
+  if (std::ranges::any_of(mWithoutRoom, needsMore)) {
+    return false;
+  }
+  const bool hasRoom = std::ranges::any_of(
+    mWorkers, [&](const auto& aWorker) { return FitCount(aWorker.second.Free(), aDemand) > 0; });
+  if (!hasRoom && mWithoutRoom.size() < kMaxRemembered) {
+    mWithoutRoom.push_back(aDemand);
+  }
+  return hasRoom;
+}
+
 std::vector<worker_entry*> work_core::state::UsableWorkers(const ready_unit& aUnit, instant aNow)
 {
   std::vector<worker_entry*> usable;
@@ -315,6 +333,9 @@
                                  const gang_reservations& aReservations, instant aNow)
 {
   RequestAdvice(aUnit, aNow);
+  if (!HasRoom(CapacityDemand(aUnit.Spec()))) {
+    return false;
+  }
   std::vector<worker_entry*> usable = UsableWorkers(aUnit, aNow);
   std::erase_if(
     usable, [&](const worker_entry* aWorker) { return !aReservations.MayUse(aUnit, *aWorker); });
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -288,6 +288,7 @@
   std::set<std::pair<task_kind, task_kind>> mSeparated; ///< known pairs that changed a placement
   bool mHasTargets = false;      ///< a job with a latency target was added in this term
   instant mInterferenceExpiryAt; ///< when the model's entries are next checked for their age
+  std::vector<task_demand> mWithoutRoom; ///< no worker has room for these, in the present pass
 
   // work_jobs.cpp
   void RestoreJob(job_entry& aJob, const stored_job& aStored, instant aNow);
@@ -421,6 +422,8 @@
   /// Whether the worker may run the unit's step, the advisor's approval aside.
   bool IsEligible(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
   bool IsUsable(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
+  /// Whether any worker has enough free capacity for a task.
+  bool HasRoom(const task_demand& aDemand);
   /// Returns whether all the given tasks, or none of a gang that cannot be placed yet, are placed.
   bool PlaceUnit(ready_unit& aUnit, const std::vector<int>& aTasks,
                  const gang_reservations& aReservations, instant aNow);
