--- a/src/libwork/interference_model_test.cpp
+++ b/src/libwork/interference_model_test.cpp
@@ -53,6 +53,29 @@
     BW_EQUAL(std::vector<task_kind>{ test.mA }, test.mModel.InterferingWith(test.mB));
     BW_EQUAL(std::size_t{ 1 }, test.mModel.TakeChanges().size());
   }
+  BW_SECTION("a pair is learned when the neighbour was there first")
+  {
+    for (int worker = 0; worker < 3; ++worker) {
+      const auto add = [&](std::vector<task_kind> aNeighbours, double aPace) {
+        test.mModel.Add({ test.mA, fmt::format("job{}.0", worker), fmt::format("w{}", worker),
+                          std::move(aNeighbours), aPace },
+                        test.mNow);
+      };
+      add({ test.mB }, 5);
+      add({ test.mB }, 5);
+      add({}, 10);
+      add({}, 10);
+    }
+    BW_CHECK(test.IsKnown());
+  }
+}
+
+BW_STORY("the model does not learn from what is not interference")
+{
+  fixture test;
+  for (int worker = 0; worker < 4; ++worker) {
+    test.Add(worker, 10, false, 3);
+  }
   BW_SECTION("a slowdown below a fifth, or on one worker of four, is not learned")
   {
     for (int worker = 4; worker < 8; ++worker) {
@@ -82,21 +105,6 @@
       BW_CHECK(!test.IsKnown());
     }
   }
-  BW_SECTION("a pair is learned when the neighbour was there first")
-  {
-    for (int worker = 0; worker < 3; ++worker) {
-      const auto add = [&](std::vector<task_kind> aNeighbours, double aPace) {
-        test.mModel.Add({ test.mA, fmt::format("job{}.0", worker), fmt::format("w{}", worker),
-                          std::move(aNeighbours), aPace },
-                        test.mNow);
-      };
-      add({ test.mB }, 5);
-      add({ test.mB }, 5);
-      add({}, 10);
-      add({}, 10);
-    }
-    BW_CHECK(test.IsKnown());
-  }
 }
 
 BW_STORY("the model forgets")
--- a/src/libwork/work_interference_test.cpp
+++ b/src/libwork/work_interference_test.cpp
@@ -76,6 +76,13 @@
     BW_EQUAL(std::size_t{ 0 }, fleet.Core().InterferingPairs());
     BW_EQUAL(4, MixedWorkers(fleet, "a", "b"));
   }
+  BW_CHECK(fleet.mViolations.empty());
+}
+
+// Guards against evidence that is none or out of date, and against work that waits for separation.
+BW_STORY("kinds are separated only for as long as they interfere and where there is room")
+{
+  fleet_simulation fleet(12, 1);
   BW_SECTION("a worker that is slow for all its runs teaches nothing")
   {
     fleet.Run(milliseconds(200));
