--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -122,7 +122,14 @@
     }
   }
   aJob.mNextOccurrence = record.mNextOccurrence;
-  for (const progress_done& each : record.mDone) {
+  RestoreSteps(aJob, record);
+  RestoreStoppingRuns(aJob, record.mStopping, aNow);
+  RestoreTasks(aJob, record.mTasks, aNow);
+}
+
+void work_core::state::RestoreSteps(const job_entry& aJob, const progress_record& aRecord)
+{
+  for (const progress_done& each : aRecord.mDone) {
     step_entry* step = FindStep({ aJob.mSpec.mId, each.mOccurrence, each.mStep, 0 });
     for (std::size_t i = 0; step != nullptr && i < step->mTasks.size(); ++i) {
       if (each.mTasks.empty() || std::ranges::count(each.mTasks, static_cast<int>(i)) > 0) {
@@ -130,13 +137,17 @@
       }
     }
   }
-  for (const progress_failure& each : record.mFailures) {
+  for (const progress_failure& each : aRecord.mFailures) {
     if (step_entry* step = FindStep({ aJob.mSpec.mId, each.mOccurrence, each.mStep, 0 })) {
       step->mLastFailedRun = each.mRun;
     }
   }
-  RestoreStoppingRuns(aJob, record.mStopping, aNow);
-  for (const progress_task& each : record.mTasks) {
+}
+
+void work_core::state::RestoreTasks(job_entry& aJob, const std::vector<progress_task>& aTasks,
+                                    instant aNow)
+{
+  for (const progress_task& each : aTasks) {
     task_entry* task = FindTask(each.mTask);
     if (task == nullptr || task->mPhase == task_phase::kDone) {
       continue;
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -254,6 +254,7 @@
   task_id Task(int aIndex) const;
 };
 
+struct progress_record;
 struct progress_task;
 class gang_reservations;
 
@@ -293,6 +294,8 @@
   // work_jobs.cpp
   void RestoreJob(job_entry& aJob, const stored_job& aStored, instant aNow);
   void RestoreRun(job_entry& aJob, const run_id& aRun, const std::string& aWorker, instant aNow);
+  void RestoreSteps(const job_entry& aJob, const progress_record& aRecord);
+  void RestoreTasks(job_entry& aJob, const std::vector<progress_task>& aTasks, instant aNow);
   void RestoreStoppingRuns(job_entry& aJob, const std::vector<progress_task>& aStopping,
                            instant aNow);
   void RecordStoppingRuns(job_entry& aJob);
