--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr milliseconds kRoundInterval{ 100 };
-constexpr milliseconds kUseReportInterval{ 1'000 };
+constexpr milliseconds kGaugeInterval{ 1'000 };
 constexpr std::size_t kMaxReportedOrganisations = 64;
 // A healthy worker answers within a few milliseconds, over links with at most 3 ms one-way latency.
 // A start without an answer delays its gang, whose other members wait for a few seconds at most.
@@ -256,13 +256,13 @@
 void work_driver::RoundLoop(int aTerm)
 {
   instant nextRemoval = monotonic_clock::now() + mRemovalInterval;
-  instant nextUseReport = monotonic_clock::now();
+  instant nextGauges = monotonic_clock::now();
   while (IsCurrentTerm(aTerm)) {
     SleepFor(kRoundInterval);
     RunRound();
-    if (monotonic_clock::now() >= nextUseReport) {
-      nextUseReport = monotonic_clock::now() + kUseReportInterval;
-      ReportOrganisationUse();
+    if (monotonic_clock::now() >= nextGauges) {
+      nextGauges = monotonic_clock::now() + kGaugeInterval;
+      ReportGauges();
     }
     if (IsCurrentTerm(aTerm) && monotonic_clock::now() >= nextRemoval) {
       nextRemoval = monotonic_clock::now() + mRemovalInterval;
@@ -271,8 +271,8 @@
   }
 }
 
-// Organisations beyond the number of gauges are summed up.
-void work_driver::ReportOrganisationUse()
+// Organisations beyond the number of gauges are summed up under one name.
+void work_driver::ReportGauges()
 {
   mMetrics.Set(kInterferingPairs, static_cast<double>(mCore.InterferingPairs()));
   std::map<std::string, organisation_use> reported;
--- a/src/libcontrol/work_driver.h
+++ b/src/libcontrol/work_driver.h
@@ -77,7 +77,7 @@
   void CancelAccepted(const std::string& aJob, store_revision aCancelled);
   void RefreshWorkers(int aTerm);
   void RoundLoop(int aTerm);
-  void ReportOrganisationUse();
+  void ReportGauges();
   void ScheduleRound();
   void RunRound();
   void Perform(work_action aAction);
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -158,9 +158,9 @@
   int mFirstPercent = -1; ///< in the first report; above 0 when resumed from a checkpoint
   instant mFirstReportedAt;
   int mRatePercent = -1;        ///< progress when the rate was measured last
-  bool mIsRateSettled = false;  ///< a resumed run has been listed for one measurement
   milliseconds mRateClock{ 0 }; ///< time of that measurement on the worker's clock
   double mBestRate = 0;         ///< highest measured rate, in percent per second
+  bool mIsRateSettled = false;  ///< a resumed run has been listed for one measurement
   instant mStartedAt;
   run_pace mPace;
   int mEarlierStalls = 0;  ///< earlier runs of the task that were stopped as stalled
