Log and metrics tell why a host lacks a version of the configuration

Change: BW6001 names the call, its time and the age of the last answer; the text of a timeout has the bytes that had arrived; BW6301 says by which call a version came and since when it may have been there; BW6304 and briarwind_node_settings_ignored_total for versions that are not taken; briarwind_node_settings_version for each host. A value that was not taken is not parsed again with each listing. No other change of the logic.

--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -53,6 +53,7 @@
   kSettingsInForce,
   kSettingsUnreadable,
   kDomainsChanged,
+  kSettingsOlder,
   kNodeStarted,
   kNodeStopping,
   kNodeStopped,
@@ -65,12 +66,19 @@
 };
 
 constexpr std::array kMetrics{
-  kStoreCalls,        kStoreFailures,    kStoreRelists,     kStoreRelays,
-  kWorkDecisionTime,  kWorkWriteTime,    kWorkWriteRetries, kWorkRemovalRetries,
-  kStartOrders,       kStopOrders,       kWorkPolls,        kRegistryUnreadableEntries,
-  kAdviceCalls,       kCoreDecisions,    kCallerCalls,      kCallerRefusals,
-  kHttpRefusals,      kCallerTime,       kPeerCalls,        kOrganisationUse,
-  kOrganisationLimit, kInterferingPairs, kPaceOrders,       kHttpBudgetUsed,
+  kStoreCalls,        kStoreFailures,
+  kStoreRelists,      kStoreRelays,
+  kSettingsVersion,   kSettingsIgnored,
+  kWorkDecisionTime,  kWorkWriteTime,
+  kWorkWriteRetries,  kWorkRemovalRetries,
+  kStartOrders,       kStopOrders,
+  kWorkPolls,         kRegistryUnreadableEntries,
+  kAdviceCalls,       kCoreDecisions,
+  kCallerCalls,       kCallerRefusals,
+  kHttpRefusals,      kCallerTime,
+  kPeerCalls,         kOrganisationUse,
+  kOrganisationLimit, kInterferingPairs,
+  kPaceOrders,        kHttpBudgetUsed,
   kHttpBudgetTotal,   kLimitWaits,
 };
 
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -11,7 +11,9 @@
 
 inline constexpr event_kind kStoreViewLost{
   6001, log_level::kWarning, "store.view-lost",
-  "Keys under `prefix` cannot be read or watched; the host continues with the last known values."
+  "Keys under `prefix` cannot be read or watched; the host continues with the last known values. "
+  "`call` failed after `took_ms`, for the cause in `error` and `what`; the last answer was "
+  "`unconfirmed_ms` ago."
 };
 inline constexpr event_kind kStoreViewRegained{
   6002, log_level::kInfo, "store.view-regained",
@@ -184,7 +186,8 @@
 };
 inline constexpr event_kind kSettingsInForce{
   6301, log_level::kInfo, "operator.settings",
-  "A new version of the operators' configuration is in force on this host."
+  "A new version of the operators' configuration is in force on this host. It came by `via`; "
+  "until `unseen_ms` before, the store had shown no newer version than the previous one."
 };
 inline constexpr event_kind kSettingsUnreadable{
   6302, log_level::kError, "operator.settings-unreadable",
@@ -194,6 +197,10 @@
   6303, log_level::kInfo, "operator.domains",
   "The failure domains withdrawn from scheduling changed; `withdrawn` lists them all."
 };
+inline constexpr event_kind kSettingsOlder{
+  6304, log_level::kWarning, "operator.settings-older",
+  "The configuration stored at `key` is not newer than the one in force and is ignored."
+};
 inline constexpr event_kind kNodeStarted{
   6401, log_level::kInfo, "node.started",
   "The process has started; it accepts callers and peers at the addresses given."
@@ -244,6 +251,14 @@
   metric_type::kCounter, "briarwind_node_store_relists_total", "reason",
   "Views of the store that had to be listed anew, by reason."
 };
+inline constexpr metric_kind kSettingsVersion{
+  metric_type::kGauge, "briarwind_node_settings_version", "",
+  "Version of the operators' configuration that is in force on this host; 0: none has been read."
+};
+inline constexpr metric_kind kSettingsIgnored{
+  metric_type::kCounter, "briarwind_node_settings_ignored_total", "reason",
+  "Stored configurations that were not taken: unreadable, or not newer than the one in force."
+};
 inline constexpr metric_kind kStoreRelays{
   metric_type::kCounter, "briarwind_node_store_relays_total", "outcome",
   "Calls to the store that went through a peer, by outcome."
--- a/src/libcontrol/settings_view.cpp
+++ b/src/libcontrol/settings_view.cpp
@@ -9,6 +9,7 @@
 settings_view::settings_view(fiber_runtime& aRuntime, record_store& aStore, metrics& aMetrics,
                              const operator_settings_codec& aCodec)
   : mRuntime(aRuntime)
+  , mMetrics(aMetrics)
   , mCodec(aCodec)
   , mFollower(aStore, aMetrics, aCodec.Prefix(),
               { [this](const store_listing& aListing) { OnListed(aListing); },
@@ -35,7 +36,7 @@
     if (const auto domain = mCodec.WithdrawnDomain(each.mKey)) {
       withdrawn.insert(*domain);
     } else {
-      changed = Apply(each) || changed;
+      changed = Apply(each, "list") || changed;
     }
   }
   if (withdrawn != mWithdrawn) {
@@ -60,7 +61,7 @@
       }
       changed = changed || domainChanged;
     } else if (!each.mDeleted) {
-      changed = Apply(each.mValue) || changed;
+      changed = Apply(each.mValue, "watch") || changed;
     }
   }
   if (changed && mObserver) {
@@ -68,29 +69,45 @@
   }
 }
 
-bool settings_view::Apply(const stored_value& aValue)
+bool settings_view::Apply(const stored_value& aValue, std::string_view aVia)
 {
-  if (aValue.mModified <= mSettingsRevision) {
+  if (aValue.mModified <= std::max(mSettingsRevision, mIgnoredRevision)) {
     return false;
   }
   auto read = mCodec.ReadSettings(aValue);
   if (!read) {
+    RecordIgnored(aValue, "unreadable");
     LogEvent(kSettingsUnreadable, { Field("key", aValue.mKey), Field("revision", aValue.mModified),
                                     Field("what", std::string_view(read.error().mWhat)) });
     return false;
   }
-  if (!read.value() || read.value()->mVersion <= mSettings.mVersion) {
+  if (!read.value()) {
+    return false;
+  }
+  if (read.value()->mVersion <= mSettings.mVersion) {
+    RecordIgnored(aValue, "older");
+    LogEvent(kSettingsOlder,
+             { Field("key", aValue.mKey), Field("revision", aValue.mModified),
+               Field("version", read.value()->mVersion), Field("in_force", mSettings.mVersion) });
     return false;
   }
   mSettings = std::move(*read.value());
   mSettingsRevision = aValue.mModified;
+  mMetrics.Set(kSettingsVersion, static_cast<double>(mSettings.mVersion));
   LogEvent(kSettingsInForce,
            { Field("version", mSettings.mVersion), Field("revision", mSettingsRevision),
              Field("routes", mSettings.mRoutes.size()),
-             Field("keys", mSettings.mOrganisationOfKey.size()) });
+             Field("keys", mSettings.mOrganisationOfKey.size()), Field("via", aVia),
+             Field("unseen_ms", mFollower.TimeSincePreviousAnswer().count()) });
   return true;
 }
 
+void settings_view::RecordIgnored(const stored_value& aValue, std::string_view aReason)
+{
+  mIgnoredRevision = aValue.mModified;
+  mMetrics.Count(kSettingsIgnored, aReason);
+}
+
 void settings_view::LogWithdrawnDomains()
 {
   LogEvent(kDomainsChanged, { Field("withdrawn", fmt::format("{}", fmt::join(mWithdrawn, ","))) });
--- a/src/libcontrol/settings_view.h
+++ b/src/libcontrol/settings_view.h
@@ -28,15 +28,18 @@
 private:
   void OnListed(const store_listing& aListing);
   void OnChangesReceived(const std::vector<store_change>& aChanges);
-  bool Apply(const stored_value& aValue);
+  bool Apply(const stored_value& aValue, std::string_view aVia);
+  void RecordIgnored(const stored_value& aValue, std::string_view aReason);
   void LogWithdrawnDomains();
 
   fiber_runtime& mRuntime;
+  metrics& mMetrics;
   const operator_settings_codec& mCodec;
   store_follower mFollower;
   std::function<void()> mObserver;
   operator_settings mSettings;
   store_revision mSettingsRevision = 0;
+  store_revision mIgnoredRevision = 0; ///< of the newest value that was not taken
   std::set<std::string> mWithdrawn;
 };
 
--- a/src/libcontrol/store_follower.cpp
+++ b/src/libcontrol/store_follower.cpp
@@ -18,6 +18,11 @@
 constexpr milliseconds kBaseRetryDelay{ 40 };
 constexpr milliseconds kMaxRetryDelay{ 400 };
 
+std::int64_t WholeMilliseconds(duration aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime).count();
+}
+
 } // namespace
 
 store_follower::store_follower(record_store& aStore, metrics& aMetrics, std::string aPrefix,
@@ -26,6 +31,8 @@
   , mMetrics(aMetrics)
   , mPrefix(std::move(aPrefix))
   , mObserver(std::move(aObserver))
+  , mAnsweredAt(monotonic_clock::now())
+  , mPreviouslyAnsweredAt(mAnsweredAt)
 {
 }
 
@@ -46,11 +53,17 @@
   }
 }
 
+milliseconds store_follower::TimeSincePreviousAnswer() const
+{
+  return std::chrono::duration_cast<milliseconds>(monotonic_clock::now() - mPreviouslyAnsweredAt);
+}
+
 bool store_follower::ListOnce()
 {
-  const auto listing = mStore.List(mPrefix, monotonic_clock::now() + kListTimeout);
+  const instant begun = monotonic_clock::now();
+  const auto listing = mStore.List(mPrefix, begun + kListTimeout);
   if (!listing) {
-    OnFailure(listing.error());
+    OnFailure("list", begun, listing.error());
     return false;
   }
   mRevision = listing.value().mRevision;
@@ -63,9 +76,10 @@
 
 bool store_follower::WatchOnce()
 {
+  const instant begun = monotonic_clock::now();
   const auto answer = mStore.Watch(mPrefix, mRevision, kWatchWait);
   if (!answer) {
-    OnFailure(answer.error());
+    OnFailure("watch", begun, answer.error());
     return false;
   }
   if (answer.value().mCompacted) {
@@ -80,19 +94,22 @@
   return true;
 }
 
-void store_follower::OnFailure(const error& aError)
+void store_follower::OnFailure(std::string_view aCall, instant aBegun, const error& aError)
 {
   mMetrics.Count(kStoreRelists, ToString(aError.mKind));
   if (!std::exchange(mIsLost, true)) {
+    const instant now = monotonic_clock::now();
     LogEvent(kStoreViewLost, { Field("prefix", mPrefix), Field("revision", mRevision),
                                Field("error", ToString(aError.mKind)),
-                               Field("what", std::string_view(aError.mWhat)) });
+                               Field("what", std::string_view(aError.mWhat)), Field("call", aCall),
+                               Field("took_ms", WholeMilliseconds(now - aBegun)),
+                               Field("unconfirmed_ms", WholeMilliseconds(now - mAnsweredAt)) });
   }
 }
 
 void store_follower::OnSuccess()
 {
-  mConfirmedAt = monotonic_clock::now();
+  mPreviouslyAnsweredAt = std::exchange(mAnsweredAt, monotonic_clock::now());
   if (std::exchange(mIsLost, false)) {
     LogEvent(kStoreViewRegained, { Field("prefix", mPrefix), Field("revision", mRevision) });
   }
--- a/src/libcontrol/store_follower.h
+++ b/src/libcontrol/store_follower.h
@@ -31,13 +31,14 @@
   /// first
   void Run(store_revision aListedRevision = 0);
 
-  /// Time of the last successful listing or watch.
-  instant ConfirmedAt() const { return mConfirmedAt; }
+  /// Time since the answer before the last one. A change that the last answer was the first to show
+  /// is not older than that.
+  milliseconds TimeSincePreviousAnswer() const;
 
 private:
   bool ListOnce();
   bool WatchOnce();
-  void OnFailure(const error& aError);
+  void OnFailure(std::string_view aCall, instant aBegun, const error& aError);
   void OnSuccess();
 
   record_store& mStore;
@@ -45,7 +46,8 @@
   std::string mPrefix;
   observer mObserver;
   store_revision mRevision = 0;
-  instant mConfirmedAt;
+  instant mAnsweredAt; ///< last successful listing or watch
+  instant mPreviouslyAnsweredAt;
   bool mIsLost = false;
 };
 
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
 
 #include <sys/socket.h>
 
@@ -48,7 +49,8 @@
 
 // Errors before the first byte was sent mean that nothing took effect; later ones leave the outcome
 // of the request unknown.
-error DescribeFailure(beast::error_code aCode, std::size_t aBytesSent, const endpoint& aPeer)
+error DescribeFailure(beast::error_code aCode, std::size_t aBytesSent, const endpoint& aPeer,
+                      std::size_t aBytesReceived = 0)
 {
   if (aCode == http::error::body_limit) {
     return { error_kind::kTooLarge, ToString(aPeer), "the answer is over the limit" };
@@ -56,7 +58,10 @@
   const bool hasTimedOut = aCode == beast::error::timeout;
   if (aBytesSent > 0) {
     return { error_kind::kUnknownOutcome, ToString(aPeer),
-             hasTimedOut ? std::string("no whole answer before the deadline") : aCode.message() };
+             hasTimedOut
+               ? fmt::format("no whole answer before the deadline; {} bytes of it arrived",
+                             aBytesReceived)
+               : aCode.message() };
   }
   return { hasTimedOut ? error_kind::kTimeout : error_kind::kUnavailable, ToString(aPeer),
            aCode.message() };
@@ -167,7 +172,7 @@
     const auto [code, bytes] = Await<std::size_t>(
       [&](auto aHandler) { http::async_read(mStream, mBuffer, parser, std::move(aHandler)); });
     if (code) {
-      aExchange.mError = DescribeFailure(code, aExchange.mBytesSent, mPeer);
+      aExchange.mError = DescribeFailure(code, aExchange.mBytesSent, mPeer, bytes);
       return;
     }
     aExchange.mExtraBytes = mBuffer.size() > 0;
