Reads of a store are limited by silence, not by their whole duration

Cause: a watch had to be answered in full 400 ms after the time it waits, a listing within 900 ms. 4,247 routes are 1 MB on the wire, 0.9 s at 10 Mbit/s, so no answer was ever whole; the failed listing counted as a silent store, so that calls went to a peer and back, and each attempt loaded the link for the next one. Class: a time limit for a whole answer whose size has no bound. Change: the deadline of a read holds until its header arrives; after that the call fails when nothing arrives for 800 ms. For listings and watches of the platform's store, reads of the product's own settings store, the host list and the check of guarantees in briarwind-ctl. Long bodies are read 64 KiB at a time, not 512 bytes. Evidence: platform/slow_link_test failed 5 of 5 before and passes 5 of 5.

--- a/src/ctl/guarantee_check.cpp
+++ b/src/ctl/guarantee_check.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr milliseconds kHostListTimeout{ 2'000 };
+constexpr milliseconds kHostListStallTimeout{ 800 };
 
 std::optional<std::vector<worker_info>> ReadWorkers(ctl_context& aContext)
 {
@@ -17,7 +18,8 @@
   request.mTarget = "/v1/hosts";
   for (const endpoint& each : aContext.mOptions.mHostLists) {
     const auto answer =
-      HttpCall(aContext.mRuntime, each, request, monotonic_clock::now() + kHostListTimeout);
+      HttpCall(aContext.mRuntime, each, request,
+               { monotonic_clock::now() + kHostListTimeout, kHostListStallTimeout });
     if (!answer || answer.value().mStatus != 200) {
       continue;
     }
--- a/src/include/briarwind/config_store.h
+++ b/src/include/briarwind/config_store.h
@@ -70,7 +70,8 @@
 public:
   virtual ~config_store() = default;
 
-  /// All keys that start with the prefix, sorted by key.
+  /// All keys that start with the prefix, sorted by key. The deadline limits the time until the
+  /// answer begins to arrive; a long one may take longer.
   virtual io_result<store_listing> List(std::string_view aPrefix, instant aDeadline) = 0;
 
   /// A listing with at least the key under the prefix that was modified last, possibly without its
--- a/src/include/briarwind/http_client.h
+++ b/src/include/briarwind/http_client.h
@@ -24,6 +24,27 @@
   bool mExtraBytes = false;               ///< bytes arrived beyond the end of the response
 };
 
+/// Time limits of one call.
+struct http_call_limits
+{
+  /// The whole response has to arrive before the deadline.
+  http_call_limits(instant aDeadline)
+    : mDeadline(aDeadline)
+  {
+  }
+  /// Only the header has to arrive before the deadline. The body may take any time; the call fails
+  /// when nothing of it arrives for aStallTimeout. For responses whose size has no fixed bound,
+  /// such as listings of a store.
+  http_call_limits(instant aDeadline, milliseconds aStallTimeout)
+    : mDeadline(aDeadline)
+    , mStallTimeout(aStallTimeout)
+  {
+  }
+
+  instant mDeadline;
+  std::optional<milliseconds> mStallTimeout;
+};
+
 /// A client connection to a server at a numeric IP address. The destructor closes it.
 class http_connection
 {
@@ -37,7 +58,7 @@
   /// Sends a request and waits for the complete response. The connection is closed unless the
   /// exchange leaves it reusable.
   /// @param aMaxBody limit in bytes; a response with a longer body fails with kTooLarge
-  virtual http_exchange Exchange(const http_request& aRequest, instant aDeadline,
+  virtual http_exchange Exchange(const http_request& aRequest, const http_call_limits& aLimits,
                                  std::size_t aMaxBody) = 0;
 
   /// Sends a request and passes the body of the response to aLine line by line as it arrives. Ends
@@ -58,7 +79,7 @@
 /// kTimeout mean that nothing was sent. Failures after the first byte was sent are reported as
 /// kUnknownOutcome, or as kTooLarge when the response has more than 64 MiB.
 io_result<http_response> HttpCall(fiber_runtime& aRuntime, const endpoint& aPeer,
-                                  const http_request& aRequest, instant aDeadline);
+                                  const http_request& aRequest, const http_call_limits& aLimits);
 
 /// Sends requests like HttpCall, but keeps idle connections to each peer and reuses them.
 class http_pool
@@ -68,14 +89,14 @@
   explicit http_pool(fiber_runtime& aRuntime, std::size_t aMaxIdlePerPeer = 4);
   ~http_pool();
   io_result<http_response> Call(const endpoint& aPeer, const http_request& aRequest,
-                                instant aDeadline);
+                                const http_call_limits& aLimits);
 
   /// Returns whether the request may still be sent. Called once a connection is open, with no
   /// suspension of the fiber between the call and the first write.
   using send_check = std::function<bool()>;
   /// Call that sends nothing and fails with kUnavailable when aMaySend returns false.
   io_result<http_response> CallIf(const endpoint& aPeer, const http_request& aRequest,
-                                  instant aDeadline, const send_check& aMaySend);
+                                  const http_call_limits& aLimits, const send_check& aMaySend);
 
 private:
   struct state;
--- a/src/include/briarwind/record_store.h
+++ b/src/include/briarwind/record_store.h
@@ -75,10 +75,11 @@
   /// The key's value, or nullopt when the key does not exist.
   virtual io_result<std::optional<stored_value>> Get(std::string_view aKey, instant aDeadline) = 0;
   /// All keys that start with the prefix, sorted. Not a snapshot: mRevision is the revision of the
-  /// first page, so that a watch that starts there misses no change.
+  /// first page, so that a watch that starts there misses no change. The deadline limits the time
+  /// until an answer begins to arrive; a long one may take longer.
   virtual io_result<store_listing> List(std::string_view aPrefix, instant aDeadline) = 0;
   /// Waits for changes under the prefix after revision aAfter. Returns without changes when none
-  /// came within aWait.
+  /// came within aWait. Changes may take longer to arrive.
   virtual io_result<watch_result> Watch(std::string_view aPrefix, store_revision aAfter,
                                         milliseconds aWait) = 0;
   /// Succeeds also when a condition did not hold: see `transaction_result::mCommitted`.
--- a/src/libnet/host_poller.cpp
+++ b/src/libnet/host_poller.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr seconds kReadTimeout{ 2 };
+// Longest pause in the list, whose length grows with the number of hosts.
+constexpr milliseconds kStallTimeout{ 800 };
 // Number of older lists in a row after which an older list is accepted. A service that was restored
 // from an older state keeps answering with the older version, whereas a lagging replica catches up.
 constexpr int kOlderListsUntilAccepted = 10;
@@ -58,8 +60,8 @@
 {
   http_request request;
   request.mTarget = "/v1/hosts";
-  const auto answer =
-    mPool.Call(mSources.at(mSourceIndex), request, monotonic_clock::now() + kReadTimeout);
+  const auto answer = mPool.Call(mSources.at(mSourceIndex), request,
+                                 { monotonic_clock::now() + kReadTimeout, kStallTimeout });
   if (!answer) {
     return boost::outcome_v2::failure(answer.error());
   }
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -16,6 +16,7 @@
 
 #include <sys/socket.h>
 
+#include <tuple>
 #include <utility>
 
 namespace briarwind {
@@ -31,6 +32,8 @@
 
 constexpr unsigned kHttp11 = 11;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64U << 10U;
+// Size of the reads of a long body; the buffer of a connection otherwise reads 512 bytes at a time.
+constexpr std::size_t kLargeReadBytes = std::size_t{ 64 } << 10U;
 
 wire_request ToWire(const http_request& aRequest, const endpoint& aPeer)
 {
@@ -59,8 +62,7 @@
   if (aBytesSent > 0) {
     return { error_kind::kUnknownOutcome, ToString(aPeer),
              hasTimedOut
-               ? fmt::format("no whole answer before the deadline; {} bytes of it arrived",
-                             aBytesReceived)
+               ? fmt::format("timed out; {} bytes of the answer had arrived", aBytesReceived)
                : aCode.message() };
   }
   return { hasTimedOut ? error_kind::kTimeout : error_kind::kUnavailable, ToString(aPeer),
@@ -88,11 +90,11 @@
     return code;
   }
 
-  http_exchange Exchange(const http_request& aRequest, instant aDeadline,
+  http_exchange Exchange(const http_request& aRequest, const http_call_limits& aLimits,
                          std::size_t aMaxBody) override
   {
     http_exchange exchange;
-    mStream.expires_at(aDeadline);
+    mStream.expires_at(aLimits.mDeadline);
     const beast::error_code written = Send(aRequest, exchange.mBytesSent);
     if (exchange.mBytesSent == 0 || written == beast::error::timeout) {
       Close();
@@ -101,7 +103,7 @@
     }
     // A response may arrive although the write failed: some servers reject a request before they
     // have read the whole body.
-    Receive(aRequest, aMaxBody, exchange);
+    Receive(aRequest, aLimits, aMaxBody, exchange);
     if (written) {
       exchange.mReusable = false;
     }
@@ -163,14 +165,42 @@
     return code;
   }
 
-  void Receive(const http_request& aRequest, std::size_t aMaxBody, http_exchange& aExchange)
+  // The deadline that Exchange has set applies to the header, and to the body unless aStallTimeout
+  // replaces it.
+  std::tuple<beast::error_code, std::size_t> ReadResponse(response_parser& aParser,
+                                                          std::optional<milliseconds> aStallTimeout)
+  {
+    auto [code, received] = Await<std::size_t>([&](auto aHandler) {
+      http::async_read_header(mStream, mBuffer, aParser, std::move(aHandler));
+    });
+    const auto announced = code ? boost::none : aParser.content_length();
+    if (announced && *announced > kLargeReadBytes) {
+      mBuffer.reserve(kLargeReadBytes);
+    }
+    while (!code && !aParser.is_done()) {
+      if (aStallTimeout) {
+        mStream.expires_after(*aStallTimeout);
+      }
+      std::size_t bytes = 0;
+      std::tie(code, bytes) = Await<std::size_t>([&](auto aHandler) {
+        http::async_read_some(mStream, mBuffer, aParser, std::move(aHandler));
+      });
+      received += bytes;
+    }
+    if (mBuffer.size() == 0 && mBuffer.capacity() >= kLargeReadBytes) {
+      mBuffer.shrink_to_fit();
+    }
+    return { code, received };
+  }
+
+  void Receive(const http_request& aRequest, const http_call_limits& aLimits, std::size_t aMaxBody,
+               http_exchange& aExchange)
   {
     response_parser parser;
     parser.body_limit(aMaxBody);
     parser.header_limit(kMaxResponseHeaderBytes);
     parser.skip(aRequest.mMethod == "HEAD");
-    const auto [code, bytes] = Await<std::size_t>(
-      [&](auto aHandler) { http::async_read(mStream, mBuffer, parser, std::move(aHandler)); });
+    const auto [code, bytes] = ReadResponse(parser, aLimits.mStallTimeout);
     if (code) {
       aExchange.mError = DescribeFailure(code, aExchange.mBytesSent, mPeer, bytes);
       return;
--- a/src/libnet/http_pool.cpp
+++ b/src/libnet/http_pool.cpp
@@ -23,13 +23,13 @@
 } // namespace
 
 io_result<http_response> HttpCall(fiber_runtime& aRuntime, const endpoint& aPeer,
-                                  const http_request& aRequest, instant aDeadline)
+                                  const http_request& aRequest, const http_call_limits& aLimits)
 {
-  auto connected = http_connection::Connect(aRuntime, aPeer, aDeadline);
+  auto connected = http_connection::Connect(aRuntime, aPeer, aLimits.mDeadline);
   if (!connected) {
     return boost::outcome_v2::failure(std::move(connected).error());
   }
-  return ToResult(connected.value()->Exchange(aRequest, aDeadline, kMaxBodyBytes));
+  return ToResult(connected.value()->Exchange(aRequest, aLimits, kMaxBodyBytes));
 }
 
 struct http_pool::state
@@ -70,17 +70,18 @@
 http_pool::~http_pool() = default;
 
 io_result<http_response> http_pool::Call(const endpoint& aPeer, const http_request& aRequest,
-                                         instant aDeadline)
+                                         const http_call_limits& aLimits)
 {
-  return CallIf(aPeer, aRequest, aDeadline, [] { return true; });
+  return CallIf(aPeer, aRequest, aLimits, [] { return true; });
 }
 
 io_result<http_response> http_pool::CallIf(const endpoint& aPeer, const http_request& aRequest,
-                                           instant aDeadline, const send_check& aMaySend)
+                                           const http_call_limits& aLimits,
+                                           const send_check& aMaySend)
 {
   connection_pointer connection = mState->TakeIdle(aPeer);
   if (!connection) {
-    auto connected = http_connection::Connect(*mState->mRuntime, aPeer, aDeadline);
+    auto connected = http_connection::Connect(*mState->mRuntime, aPeer, aLimits.mDeadline);
     if (!connected) {
       return boost::outcome_v2::failure(std::move(connected).error());
     }
@@ -90,7 +91,7 @@
     mState->PutBack(aPeer, std::move(connection));
     return IoError(error_kind::kUnavailable, ToString(aPeer), "held back before it was sent");
   }
-  http_exchange exchange = connection->Exchange(aRequest, aDeadline, kMaxBodyBytes);
+  http_exchange exchange = connection->Exchange(aRequest, aLimits, kMaxBodyBytes);
   if (exchange.mReusable) {
     mState->PutBack(aPeer, std::move(connection));
   }
--- a/src/libnet/store_client.cpp
+++ b/src/libnet/store_client.cpp
@@ -18,6 +18,8 @@
 // A watch that receives no line for this long is restarted, since its connection may be broken.
 constexpr milliseconds kWatchIdleTimeout{ 30'000 };
 constexpr milliseconds kWatchConnectTimeout{ 1'000 };
+// Longest pause in the answer to a read, which may be a listing of any length.
+constexpr milliseconds kStallTimeout{ 800 };
 
 enum class effect : std::uint8_t
 {
@@ -101,7 +103,10 @@
 {
   mMetrics.Count(kStoreCalls, aKind.mName);
   const instant started = monotonic_clock::now();
-  auto answer = mPool.Call(mEndpoints.at(mPreferred), Request(aKind, aBody), aDeadline);
+  const http_call_limits limits = aKind.mEffect == effect::kReads
+                                    ? http_call_limits(aDeadline, kStallTimeout)
+                                    : http_call_limits(aDeadline);
+  auto answer = mPool.Call(mEndpoints.at(mPreferred), Request(aKind, aBody), limits);
   mMetrics.Observe(kStoreCallTime, monotonic_clock::now() - started, aKind.mName);
   if (!answer) {
     error failed = std::move(answer).error();
