Hosts that read through a peer get settings from its view, and only what they lack

After each failed watch the host listed everything again, although it knew all but the last change. Each abandoned attempt loaded both links for the next. Change: store_view keeps the keys under op/ as the store's answers showed them. A peer serves relayed listings and watches of this prefix from its view while that is current and, for a listing, not older than what the caller has seen; a relayed listing asks only for the changes since the newest one known.

--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -98,6 +98,7 @@
     CountRefusals(mCallerServer, "callers");
     CountRefusals(mReadinessServer, "readiness");
     CountRefusals(mPeerServer, "peers");
+    mStore.SetView(mSettingsView.StoredKeys());
     mSettingsView.OnChange([this] {
       mDriver.SetSettings(mSettingsView.ToWorkSettings());
       LogReadinessChange();
--- a/src/libcontrol/relayed_store.cpp
+++ b/src/libcontrol/relayed_store.cpp
@@ -23,6 +23,8 @@
 constexpr std::string_view kProbeKey = "briarwind/hosts/leader";
 // Extra time for a relayed watch beyond the time that it waits for changes.
 constexpr milliseconds kWatchMargin{ 500 };
+// Longest pause in a relayed listing or watch, beyond a packet that is lost twice.
+constexpr milliseconds kStallTimeout{ 800 };
 
 bool IsAnswerFromStore(error_kind aKind)
 {
@@ -56,7 +58,7 @@
     return JsonResponse(503,
                         R"({"kind":"unavailable","what":"the store turns this host away too"})");
   }
-  return store_relay::Serve(mDirectStore, aName, aBody);
+  return store_relay::Serve(mDirectStore, aName, aBody, mView);
 }
 
 // Recovers without further action, because the followers of settings and hosts keep calling the
@@ -68,7 +70,7 @@
 
 template<class Value, class Direct, class Parse>
 io_result<Value> relayed_store::Route(const Direct& aDirect, const store_relay::relay_call& aCall,
-                                      Parse aParse, instant aDeadline)
+                                      Parse aParse, const http_call_limits& aLimits)
 {
   if (IsDirect()) {
     const instant begun = monotonic_clock::now();
@@ -79,7 +81,7 @@
     return answer;
   }
   const std::string peerAddress = mPeer;
-  const auto sent = CallPeer(aCall, aDeadline);
+  const auto sent = CallPeer(aCall, aLimits);
   if (!sent) {
     ++mConsecutiveFailures;
     AbandonPeer(peerAddress);
@@ -105,7 +107,7 @@
 }
 
 io_result<http_response> relayed_store::CallPeer(const store_relay::relay_call& aCall,
-                                                 instant aDeadline)
+                                                 const http_call_limits& aLimits)
 {
   const auto peer = ToIoResult([&] { return ParseEndpoint(mPeer); });
   if (!peer) {
@@ -116,7 +118,7 @@
   request.mTarget = "/v1/store/" + aCall.mName;
   request.mBody = aCall.mBody;
   request.mHeaders.Set("Content-Type", "application/json");
-  return mPool.Call(peer.value(), request, aDeadline);
+  return mPool.Call(peer.value(), request, aLimits);
 }
 
 void relayed_store::RecordDirectCall(bool aSucceeded, bool aWasSilent)
@@ -172,9 +174,45 @@
 
 io_result<store_listing> relayed_store::List(std::string_view aPrefix, instant aDeadline)
 {
+  const bool hasView = mView != nullptr && mView->Prefix() == aPrefix && mView->Revision() != 0;
+  auto listing = hasView && !IsDirect() ? ListByView(aDeadline) : ListWhole(aPrefix, aDeadline);
+  if (listing) {
+    RecordSeen(aPrefix, listing.value().mRevision);
+  }
+  return listing;
+}
+
+io_result<store_listing> relayed_store::ListWhole(std::string_view aPrefix, instant aDeadline)
+{
+  const auto seen = mSeen.find(aPrefix);
   return Route<store_listing>([&] { return mDirectStore.List(aPrefix, aDeadline); },
-                              store_relay::MakeListCall(aPrefix, TimeRemaining(aDeadline)),
-                              store_relay::ParseListAnswer, aDeadline);
+                              store_relay::MakeListCall(aPrefix,
+                                                        seen == mSeen.end() ? 0 : seen->second,
+                                                        TimeRemaining(aDeadline)),
+                              store_relay::ParseListAnswer, { aDeadline, kStallTimeout });
+}
+
+// A listing that is relayed crosses two links of hosts, and several hosts may read through one
+// peer.
+io_result<store_listing> relayed_store::ListByView(instant aDeadline)
+{
+  const std::string& prefix = mView->Prefix();
+  const store_revision known = mView->NewestChange();
+  const auto changes =
+    Route<watch_result>([&] { return mDirectStore.Watch(prefix, known, milliseconds(0)); },
+                        store_relay::MakeWatchCall(prefix, known, milliseconds(0)),
+                        store_relay::ParseWatchAnswer, { aDeadline, kStallTimeout });
+  if (!changes) {
+    return boost::outcome_v2::failure(changes.error());
+  }
+  if (changes.value().mCompacted) {
+    return ListWhole(prefix, aDeadline);
+  }
+  store_view merged = *mView;
+  merged.Apply(changes.value().mChanges, changes.value().mRevision);
+  store_listing listing = merged.List();
+  listing.mRevision = changes.value().mRevision;
+  return listing;
 }
 
 // The failure of a direct watch is not counted: a listing follows at once and shows better whether
@@ -183,13 +221,25 @@
 io_result<watch_result> relayed_store::Watch(std::string_view aPrefix, store_revision aAfter,
                                              milliseconds aWait)
 {
-  if (IsDirect()) {
-    return mDirectStore.Watch(aPrefix, aAfter, aWait);
+  const auto watchDirectly = [&] { return mDirectStore.Watch(aPrefix, aAfter, aWait); };
+  auto seen =
+    IsDirect()
+      ? watchDirectly()
+      : Route<watch_result>(watchDirectly, store_relay::MakeWatchCall(aPrefix, aAfter, aWait),
+                            store_relay::ParseWatchAnswer,
+                            { monotonic_clock::now() + aWait + kWatchMargin, kStallTimeout });
+  if (seen) {
+    for (const store_change& each : seen.value().mChanges) {
+      RecordSeen(aPrefix, each.mValue.mModified);
+    }
   }
-  return Route<watch_result>([&] { return mDirectStore.Watch(aPrefix, aAfter, aWait); },
-                             store_relay::MakeWatchCall(aPrefix, aAfter, aWait),
-                             store_relay::ParseWatchAnswer,
-                             monotonic_clock::now() + aWait + kWatchMargin);
+  return seen;
+}
+
+void relayed_store::RecordSeen(std::string_view aPrefix, store_revision aRevision)
+{
+  store_revision& newest = mSeen.try_emplace(std::string(aPrefix)).first->second;
+  newest = std::max(newest, aRevision);
 }
 
 io_result<transaction_result> relayed_store::Commit(const store_transaction& aTransaction,
--- a/src/libcontrol/relayed_store.h
+++ b/src/libcontrol/relayed_store.h
@@ -6,6 +6,7 @@
 #include "briarwind/metrics.h"
 
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,10 @@
   /// Whether calls go to the store directly, not through a peer.
   bool IsDirect() const { return mPeer.empty(); }
   bool IsReachable() const override;
+  /// Sets the view that follows the store through this object. Reads of its prefix by other hosts
+  /// are served from it where they allow that, and relayed listings of the prefix transfer only
+  /// what the view lacks. aView must outlive this object.
+  void SetView(const store_view& aView) { mView = &aView; }
   /// Performs a call relayed by a peer, with direct access to the store. Answers 503 while this
   /// host has no direct access itself.
   http_response Serve(std::string_view aName, std::string_view aBody);
@@ -42,8 +47,12 @@
 private:
   template<class Value, class Direct, class Parse>
   io_result<Value> Route(const Direct& aDirect, const store_relay::relay_call& aCall, Parse aParse,
-                         instant aDeadline);
-  io_result<http_response> CallPeer(const store_relay::relay_call& aCall, instant aDeadline);
+                         const http_call_limits& aLimits);
+  io_result<http_response> CallPeer(const store_relay::relay_call& aCall,
+                                    const http_call_limits& aLimits);
+  io_result<store_listing> ListWhole(std::string_view aPrefix, instant aDeadline);
+  io_result<store_listing> ListByView(instant aDeadline);
+  void RecordSeen(std::string_view aPrefix, store_revision aRevision);
   void RecordDirectCall(bool aSucceeded, bool aWasSilent);
   void AbandonPeer(const std::string& aPeer);
   void SelectNextPeer();
@@ -54,6 +63,9 @@
   metrics& mMetrics;
   peer_list mListPeers;
   http_pool mPool;
+  const store_view* mView = nullptr;
+  /// By prefix: the newest revision of a listing or of a change that an answer has shown.
+  std::map<std::string, store_revision, std::less<>> mSeen;
   std::string mPeer; ///< address of the peer that relays calls; empty: direct access
   std::size_t mNextPeerIndex = 0;
   int mDirectFailures = 0;      ///< consecutive failures of direct calls
--- a/src/libcontrol/relayed_store_test.cpp
+++ b/src/libcontrol/relayed_store_test.cpp
@@ -119,6 +119,49 @@
     BW_CHECK(!store.IsDirect());
     BW_EQUAL(std::string("from the peer"), store.Get("k", NearDeadline()).value()->mValue);
   }
+  BW_SECTION("reads what its peer follows from the view of the peer")
+  {
+    store_view view("k");
+    peerStore.SetView(view);
+    view.Replace({ 5, { { "k1", "from the view", 4, 4, 0 } } });
+    const int calls = storeOfPeer.Calls();
+    BW_EQUAL(std::string("from the view"),
+             store.List("k", NearDeadline()).value().mValues.at(0).mValue);
+    BW_CHECK(store.Watch("k", 5, milliseconds(50)).value().mChanges.empty());
+    runtime.Spawn([&] {
+      SleepFor(milliseconds(100));
+      view.Apply({ { false, { "k1", "changed", 4, 7, 0 } } }, 7);
+    });
+    BW_EQUAL(std::string("changed"),
+             store.Watch("k", 5, milliseconds(900)).value().mChanges.at(0).mValue.mValue);
+    BW_EQUAL(calls, storeOfPeer.Calls());
+
+    BW_SECTION("and lists only what its own view lacks")
+    {
+      store_view own("k");
+      own.Replace({ 5, { { "k0", "own", 1, 1, 0 }, { "k1", "own", 4, 4, 0 } } });
+      store.SetView(own);
+      const auto listing = store.List("k", NearDeadline());
+      BW_EQUAL(std::string("own"), listing.value().mValues.at(0).mValue);
+      BW_EQUAL(std::string("changed"), listing.value().mValues.at(1).mValue);
+      BW_EQUAL(calls, storeOfPeer.Calls());
+    }
+    BW_SECTION("but not when the view is older than what it has seen")
+    {
+      view.Replace({ 6, { { "k1", "from the view", 4, 4, 0 } } });
+      BW_EQUAL(std::string("k"), store.List("k", NearDeadline()).value().mValues.at(0).mKey);
+    }
+    BW_SECTION("and lists again when a deletion may have been missed")
+    {
+      view.Apply({ { true, { "k1", "", 0, 8, 0 } } }, 8);
+      BW_CHECK(store.Watch("k", 7, milliseconds(50)).value().mCompacted);
+    }
+    BW_SECTION("but not while the peer cannot read the store")
+    {
+      view.SetLost();
+      BW_EQUAL(std::string("k"), store.List("k", NearDeadline()).value().mValues.at(0).mKey);
+    }
+  }
   BW_SECTION("does not relay a call that came from a peer")
   {
     const http_response answer = store.Serve("get", R"({"key":"k","time_ms":500})");
--- a/src/libcontrol/settings_view.cpp
+++ b/src/libcontrol/settings_view.cpp
@@ -11,10 +11,11 @@
   : mRuntime(aRuntime)
   , mMetrics(aMetrics)
   , mCodec(aCodec)
+  , mStoredKeys(aCodec.Prefix())
   , mFollower(aStore, aMetrics, aCodec.Prefix(),
               { [this](const store_listing& aListing) { OnListed(aListing); },
                 [this](const std::vector<store_change>& aChanges) { OnChangesReceived(aChanges); },
-                [] { return true; } })
+                [] { return true; }, &mStoredKeys })
 {
 }
 
--- a/src/libcontrol/settings_view.h
+++ b/src/libcontrol/settings_view.h
@@ -20,6 +20,9 @@
   /// Sets the function to call after each change; an empty function removes it.
   void OnChange(std::function<void()> aObserver) { mObserver = std::move(aObserver); }
 
+  /// All keys that operators write, for hosts that the store turns away.
+  const store_view& StoredKeys() const { return mStoredKeys; }
+
   /// The configuration in force; its mVersion is 0 until one has been read.
   const operator_settings& Settings() const { return mSettings; }
   /// The configuration and the withdrawn domains, in the form that the scheduling core takes.
@@ -35,6 +38,7 @@
   fiber_runtime& mRuntime;
   metrics& mMetrics;
   const operator_settings_codec& mCodec;
+  store_view mStoredKeys;
   store_follower mFollower;
   std::function<void()> mObserver;
   operator_settings mSettings;
--- a/src/libcontrol/store_follower.cpp
+++ b/src/libcontrol/store_follower.cpp
@@ -68,6 +68,9 @@
   }
   mRevision = listing.value().mRevision;
   OnSuccess();
+  if (mObserver.mView != nullptr) {
+    mObserver.mView->Replace(listing.value());
+  }
   if (mObserver.mKeepFollowing()) {
     mObserver.mOnListed(listing.value());
   }
@@ -84,10 +87,16 @@
   }
   if (answer.value().mCompacted) {
     mMetrics.Count(kStoreRelists, "compacted");
+    if (mObserver.mView != nullptr) {
+      mObserver.mView->SetLost();
+    }
     return false;
   }
   mRevision = std::max(mRevision, answer.value().mRevision);
   OnSuccess();
+  if (mObserver.mView != nullptr) {
+    mObserver.mView->Apply(answer.value().mChanges, mRevision);
+  }
   if (!answer.value().mChanges.empty() && mObserver.mKeepFollowing()) {
     mObserver.mOnChanged(answer.value().mChanges);
   }
@@ -97,6 +106,9 @@
 void store_follower::OnFailure(std::string_view aCall, instant aBegun, const error& aError)
 {
   mMetrics.Count(kStoreRelists, ToString(aError.mKind));
+  if (mObserver.mView != nullptr) {
+    mObserver.mView->SetLost();
+  }
   if (!std::exchange(mIsLost, true)) {
     const instant now = monotonic_clock::now();
     LogEvent(kStoreViewLost, { Field("prefix", mPrefix), Field("revision", mRevision),
--- a/src/libcontrol/store_follower.h
+++ b/src/libcontrol/store_follower.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "store_view.h"
+
 #include "briarwind/fiber_runtime.h"
 #include "briarwind/metrics.h"
 #include "briarwind/record_store.h"
@@ -22,6 +24,9 @@
     std::function<void(const std::vector<store_change>&)> mOnChanged;
     /// Called before each call to the store and to the observer; returning false ends `Run`.
     std::function<bool()> mKeepFollowing;
+    /// Kept up to date with the answers of the store, before the functions above are called; null:
+    /// none.
+    store_view* mView = nullptr;
   };
 
   store_follower(record_store& aStore, metrics& aMetrics, std::string aPrefix, observer aObserver);
--- a/src/libcontrol/store_relay_wire.cpp
+++ b/src/libcontrol/store_relay_wire.cpp
@@ -1,6 +1,7 @@
 #include "store_relay_wire.h"
 
 #include "briarwind/base64.h"
+#include "briarwind/fiber_runtime.h"
 #include "briarwind/json_fields.h"
 
 #include <boost/json.hpp>
@@ -21,6 +22,10 @@
   error_kind::kTooLarge,    error_kind::kProtocol,
 };
 
+// Of a view that a caller watches. Callers watch it only while the store turns them away.
+constexpr milliseconds kViewPollInterval{ 25 };
+constexpr milliseconds kMaxViewWait{ 30'000 };
+
 // Values are Base64-encoded, because JSON strings cannot hold arbitrary bytes.
 json::object ValueObject(const stored_value& aValue)
 {
@@ -90,32 +95,60 @@
   return Success(answer);
 }
 
+http_response ListAnswer(const store_listing& aListing)
+{
+  return Success(
+    { { "revision", aListing.mRevision }, { "values", ValueArray(aListing.mValues) } });
+}
+
 http_response ServeList(record_store& aStore, const json::object& aCall)
 {
   const auto listing = aStore.List(TextField(aCall, "prefix"), DeadlineOf(aCall));
-  return listing ? Success({ { "revision", listing.value().mRevision },
-                             { "values", ValueArray(listing.value().mValues) } })
-                 : Failure(listing.error());
+  return listing ? ListAnswer(listing.value()) : Failure(listing.error());
 }
 
-http_response ServeWatch(record_store& aStore, const json::object& aCall)
+http_response WatchAnswer(const watch_result& aSeen)
 {
-  const auto seen = aStore.Watch(TextField(aCall, "prefix"), NumberField(aCall, "after"),
-                                 milliseconds(NumberField(aCall, "wait_ms")));
-  if (!seen) {
-    return Failure(seen.error());
-  }
   json::array changes;
-  for (const store_change& each : seen.value().mChanges) {
+  for (const store_change& each : aSeen.mChanges) {
     json::object change = ValueObject(each.mValue);
     change["deleted"] = each.mDeleted;
     changes.emplace_back(std::move(change));
   }
-  return Success({ { "compacted", seen.value().mCompacted },
-                   { "revision", seen.value().mRevision },
+  return Success({ { "compacted", aSeen.mCompacted },
+                   { "revision", aSeen.mRevision },
                    { "changes", std::move(changes) } });
 }
 
+http_response ServeWatch(record_store& aStore, const json::object& aCall)
+{
+  const auto seen = aStore.Watch(TextField(aCall, "prefix"), NumberField(aCall, "after"),
+                                 milliseconds(NumberField(aCall, "wait_ms")));
+  return seen ? WatchAnswer(seen.value()) : Failure(seen.error());
+}
+
+// A caller of the former version does not send `at_least`: it expects the store's own answer.
+bool MayServeView(const store_view& aView, const json::object& aCall)
+{
+  return aCall.contains("at_least") && TextField(aCall, "prefix") == aView.Prefix() &&
+         aView.IsCurrent() && aView.Revision() >= NumberField(aCall, "at_least");
+}
+
+// A view that is lost during the wait shows no changes; the caller's next watch goes to the store.
+http_response WatchView(const store_view& aView, const json::object& aCall)
+{
+  const store_revision after = NumberField(aCall, "after");
+  const milliseconds wait(NumberField(aCall, "wait_ms"));
+  const instant end = monotonic_clock::now() + std::min(wait, kMaxViewWait);
+  watch_result seen = aView.ChangesAfter(after);
+  while (!seen.mCompacted && seen.mChanges.empty() && aView.IsCurrent() &&
+         monotonic_clock::now() < end) {
+    SleepFor(kViewPollInterval);
+    seen = aView.ChangesAfter(after);
+  }
+  return WatchAnswer(seen);
+}
+
 store_transaction ParseTransaction(const json::object& aCall)
 {
   store_transaction transaction;
@@ -200,13 +233,22 @@
 
 } // namespace
 
-http_response Serve(record_store& aStore, std::string_view aName, std::string_view aBody)
+http_response Serve(record_store& aStore, std::string_view aName, std::string_view aBody,
+                    const store_view* aView)
 {
   const auto served = std::ranges::find(kHandlers, aName, &call_handler::mName);
   const auto body = ToIoResult([&] { return ParseJsonObject(aBody); });
   if (served == kHandlers.end() || !body) {
     return Failure({ error_kind::kInvalid, "peer", "no such call" });
   }
+  if (aView != nullptr && MayServeView(*aView, body.value())) {
+    if (served->mServe == ServeList) {
+      return ListAnswer(aView->List());
+    }
+    if (served->mServe == ServeWatch) {
+      return WatchView(*aView, body.value());
+    }
+  }
   return served->mServe(aStore, body.value());
 }
 
@@ -215,15 +257,18 @@
   return MakeCall("get", { { "key", aKey }, { "time_ms", aTimeout.count() } });
 }
 
-relay_call MakeListCall(std::string_view aPrefix, milliseconds aTimeout)
+relay_call MakeListCall(std::string_view aPrefix, store_revision aAtLeast, milliseconds aTimeout)
 {
-  return MakeCall("list", { { "prefix", aPrefix }, { "time_ms", aTimeout.count() } });
+  return MakeCall(
+    "list", { { "prefix", aPrefix }, { "at_least", aAtLeast }, { "time_ms", aTimeout.count() } });
 }
 
 relay_call MakeWatchCall(std::string_view aPrefix, store_revision aAfter, milliseconds aWait)
 {
-  return MakeCall("watch",
-                  { { "prefix", aPrefix }, { "after", aAfter }, { "wait_ms", aWait.count() } });
+  return MakeCall("watch", { { "prefix", aPrefix },
+                             { "at_least", 0 },
+                             { "after", aAfter },
+                             { "wait_ms", aWait.count() } });
 }
 
 relay_call MakeCommitCall(const store_transaction& aTransaction, milliseconds aTimeout)
--- a/src/libcontrol/store_relay_wire.h
+++ b/src/libcontrol/store_relay_wire.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "store_view.h"
+
 #include "briarwind/http.h"
 #include "briarwind/record_store.h"
 
@@ -8,9 +10,12 @@
 
 namespace briarwind::store_relay {
 
-/// Performs a relayed call on aStore and formats the response. An unknown name or a body that is no
-/// JSON object is answered with kInvalid.
-http_response Serve(record_store& aStore, std::string_view aName, std::string_view aBody);
+/// Performs a relayed call and formats the response. Reads of the prefix of aView are served from
+/// it while it is current and as new as the call demands, all other calls by aStore. An unknown
+/// name or a body that is no JSON object is answered with kInvalid.
+/// @param aView null: none
+http_response Serve(record_store& aStore, std::string_view aName, std::string_view aBody,
+                    const store_view* aView = nullptr);
 
 /// Name and JSON body of a call to be sent to a peer.
 struct relay_call
@@ -19,9 +24,11 @@
   std::string mBody;
 };
 
-// The peer counts each timeout from the receipt of the call.
+// The peer counts each timeout from the receipt of the call. A listing and a watch may be served
+// from the peer's view; a listing only if the view is complete up to aAtLeast, the newest revision
+// that an earlier answer has shown.
 relay_call MakeGetCall(std::string_view aKey, milliseconds aTimeout);
-relay_call MakeListCall(std::string_view aPrefix, milliseconds aTimeout);
+relay_call MakeListCall(std::string_view aPrefix, store_revision aAtLeast, milliseconds aTimeout);
 relay_call MakeWatchCall(std::string_view aPrefix, store_revision aAfter, milliseconds aWait);
 relay_call MakeCommitCall(const store_transaction& aTransaction, milliseconds aTimeout);
 relay_call MakeGrantCall(milliseconds aTimeToLive, milliseconds aTimeout);
