--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -52,6 +53,26 @@
         self.file.flush()
 
 
+def free_ports(count):
+    """Free ports below those that the system gives to outgoing connections, so that a port stays
+    free while its server is down. No port is given out twice."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(20000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _given:
+            _given.add(port)
+            ports.append(port)
+    return ports
+
+
+_given = set()
+
+
 # ---- HTTP ---------------------------------------------------------------------------------------
 
 class Request:
@@ -97,9 +118,12 @@
         self.writers = set()
 
     async def open(self):
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port,
-                                                 reuse_address=True, limit=1 << 26)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.port = self.port or free_ports(1)[0]
+        try:
+            self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port,
+                                                     reuse_address=True, limit=1 << 26)
+        except OSError as problem:
+            raise CannotRun(f"port {self.port}: {problem}") from problem
         return self.port
 
     def close(self):
@@ -440,16 +464,6 @@
 
 # ---- the processes under test -------------------------------------------------------------------
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 class Node:
     """One briarwind-node process with a settings file as DEPLOY.md describes it."""
 
@@ -562,6 +576,23 @@
             await asyncio.sleep(0.2)
         return None
 
+    async def starved(self, jobs, seconds=3.0):
+        """The jobs of which no task runs at any time for some seconds, although what runs takes
+        under half of the capacity. jobs: job -> what its tasks that are due need together. At any
+        time there has to be room for that twice over on minions that may be used."""
+        idle = dict(jobs)
+        end = time.monotonic() + seconds
+        while time.monotonic() < end and idle:
+            running = [task for minion in self.minions for task, _ in minion.runs]
+            used = sum(len(minion.runs) for minion in self.minions)
+            self.record(f"{used} runs in all, of the jobs in question: "
+                        f"{[task for task in running if task.split('.')[0] in idle]}")
+            for job, has_room in list(idle.items()):
+                if any(task.startswith(job + ".") for task in running) or not has_room():
+                    del idle[job]
+            await asyncio.sleep(0.1)
+        return sorted(idle)
+
     def close(self):
         for node in self.nodes:
             node.end()
