--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import json
+import math
 import os
 import pathlib
 import random
@@ -308,6 +309,9 @@
         return 200, {}
 
 
+STARTUP_MS = 500  # of a task that lasts
+
+
 # ---- minions ------------------------------------------------------------------------------------
 
 class Minion:
@@ -317,7 +321,7 @@
         self.store, self.record = store, record
         self.id, self.service, self.zone, self.rack = name, service, zone, rack
         self.kind, self.capacity = kind, capacity
-        self.seconds_of = seconds_of  # task -> how long a run of it takes
+        self.seconds_of = seconds_of  # task -> how long a run of it takes; None: it lasts
         self.refuses_starts = False   # unhealthy: answers each start with 503 and does nothing
         self.up = False
         self.server = Server(self._handle)
@@ -379,6 +383,12 @@
                 elif run["stopped"] is None and clock >= run["end"]:
                     self._end(task, attempt, "done")
 
+    def fail(self, task):
+        """Ends a task as failed."""
+        for each, attempt in list(self.runs):
+            if each == task:
+                self._end(task, attempt, "failed")
+
     def _end(self, task, attempt, how):
         del self.runs[(task, attempt)]
         self.highest[task] = max(self.highest.get(task, 0), attempt)
@@ -423,8 +433,9 @@
             return 409, self._answer(reason="late")
         self._extend(body["until_ms"])
         clock = self.clock()
-        self.runs[(task, attempt)] = {"begun": clock, "stopped": None,
-                                      "end": clock + 1000 * self.seconds_of(task)}
+        seconds = self.seconds_of(task)
+        self.runs[(task, attempt)] = {"begun": clock, "stopped": None, "end":
+                                      math.inf if seconds is None else clock + 1000 * seconds}
         self.record(f"{self.id} (born {self.born}, kind {self.kind}) start {task} "
                     f"attempt {attempt}")
         if self.on_start:
@@ -456,9 +467,10 @@
         clock = self.clock()
         running = []
         for (task, attempt), run in self.runs.items():
-            length = max(run["end"] - run["begun"], 1)
-            running.append([task, attempt, "", min(99, int(100 * (clock - run["begun"]) / length)),
-                            0])
+            ran = clock - run["begun"]
+            percent = (min(99, int(100 * ran / max(run["end"] - run["begun"], 1)))
+                       if run["end"] < math.inf else min(100, int(100 * ran / STARTUP_MS)))
+            running.append([task, attempt, "", percent, 0])
         return 200, self._answer(running=running, finished=self.ended[:500])
 
 
