--- a/review/9/case.py
+++ b/review/9/case.py
@@ -46,13 +46,16 @@
             job = f"{0x5000 + len(accepted):016x}"
             body = {"spec": "render", "steps": [{"count": SMALL_TASKS, "estimate_ms": 2000,
                                                  **SMALL}]}
-            if await deployment.submit(f"/render/{job}", body) == 200:
-                accepted.append(job)
+            if await deployment.submit(f"/render/{job}", body) != 200:
+                raise lab.CannotRun("a job was not accepted")
+            accepted.append(job)
             await asyncio.sleep(0.3)
 
     await submit_small(17)
     if lab.TROUBLE:
-        await deployment.submit(f"/match/{0xbad:016x}", {"spec": "match", "steps": [POISON]})
+        body = {"spec": "match", "steps": [POISON]}
+        if await deployment.submit(f"/match/{0xbad:016x}", body) != 200:
+            raise lab.CannotRun("the gang was not accepted")
     await asyncio.sleep(1.2)
     await submit_small(3)
     record("end of the traffic")
