Log and metrics tell what keeps a ready step away from an idle worker

BW6121 work.waits-beside-idle names, for a step that has been ready for 2 s, a worker with room and the check that keeps the task away: the check that the closest worker fails, since a worker without the label says nothing where another one is reserved. BW6122 work.rack-reserved names gang and rack. The counter briarwind_node_idle_waits_total and the gauges briarwind_node_steps_beside_idle and briarwind_node_reserved_racks give the same without the log. Bounds: a step is looked at once in 2 s, and at most eight steps in a pass; reasons are an enumeration. Eligibility is decided by the function that also names the reason, so that they cannot differ.

--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -149,11 +149,45 @@
   kWorkerSlow,            ///< a worker's runs take longer than their steps' other tasks
   kWorkerNotSlow,         ///< a slow worker is of the usual speed again, or no longer judged
   kWorkerFlaps,           ///< a worker went away repeatedly within a short time
+  kWaitsBesideIdle,       ///< tasks keep waiting although a worker has room for one
+  kRackReserved,          ///< a gang that waits for room has a rack reserved, or another one
 };
 
 /// Name of the event kind in logs and metrics.
 std::string_view ToString(work_event_kind aKind);
 
+/// What keeps a task away from a worker that has room for it, in the order in which placement
+/// checks it.
+enum class wait_reason : std::uint8_t
+{
+  kNone,
+  kLabel,                 ///< the worker lacks the required label
+  kWithdrawn,             ///< the worker's failure domain is withdrawn
+  kLeaving,               ///< the worker is draining
+  kUnreachable,           ///< the worker did not answer its last poll
+  kUnknownRuns,           ///< the worker has runs that this leader has no record of
+  kQuarantined,           ///< a run failed or stalled on the worker, or was refused there
+  kAvoided,               ///< a run slowed down on the worker
+  kAdvice,                ///< the placement advisor has not approved the worker
+  kReserved,              ///< the worker is reserved for a gang that comes first
+  kRecentFailure,         ///< after a failure, the worker receives one run at a time
+  kPerWorkerLimit,        ///< the worker has as many tasks of the step as it may have
+  kLocality,              ///< the step waits for workers near its data
+  kGang,                  ///< the gang does not fit as a whole
+  kOrganisationLimitUsed, ///< the organisation's limit is used up
+  kOrganisationHeldBack,  ///< a gang of the organisation waits for the organisation's limit
+};
+
+/// Name of the reason in logs and metrics.
+std::string_view ToString(wait_reason aReason);
+
+/// Steps whose tasks wait for one reason although a worker has room for one.
+struct idle_wait
+{
+  wait_reason mReason = wait_reason::kNone;
+  int mSteps = 0;
+};
+
 /// An event for logs and counters. Members that don't apply are empty.
 struct work_event
 {
@@ -311,6 +345,10 @@
   work_counts Counts() const;
   /// Of the organisations for which the operators have set a weight or a limit.
   std::vector<organisation_use> OrganisationUse() const;
+  /// As of the last decision pass, by each reason that has occurred in this term.
+  std::vector<idle_wait> IdleWaits() const;
+  /// Number of racks that were reserved for gangs in the last decision pass.
+  std::size_t ReservedRacks() const;
   /// Number of pairs of kinds of tasks that are known to interfere; bounded.
   std::size_t InterferingPairs() const;
 
--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -38,6 +38,8 @@
   kWorkForgotten,
   kWorkNotRemoved,
   kWorkWaitsForLimit,
+  kWorkWaitsBesideIdle,
+  kWorkRackReserved,
   kWorkWorkerSlow,
   kWorkWorkerNotSlow,
   kWorkWorkerFlaps,
@@ -80,6 +82,8 @@
   kOrganisationLimit, kInterferingPairs,
   kPaceOrders,        kHttpBudgetUsed,
   kHttpBudgetTotal,   kLimitWaits,
+  kIdleWaits,         kStepsBesideIdle,
+  kReservedRacks,
 };
 
 } // namespace
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -129,6 +129,16 @@
   "Tasks of a job could start, but the limit of its organisation on the resource in `reason` is "
   "used up; logged once for each wait."
 };
+inline constexpr event_kind kWorkWaitsBesideIdle{
+  6121, log_level::kInfo, "work.waits-beside-idle",
+  "A step has been ready for 2 s or more and `worker` has room for one of its tasks; `reason` says "
+  "what keeps the task away. Logged again when the reason changes, at most once in 2 s for a step."
+};
+inline constexpr event_kind kWorkRackReserved{
+  6122, log_level::kInfo, "work.rack-reserved",
+  "A gang that waits for room has the rack in `reason` reserved: work of the same or a lower rank "
+  "is not placed there. Logged when a reservation begins or moves to another rack."
+};
 inline constexpr event_kind kWorkWorkerSlow{
   6130, log_level::kInfo, "work.worker-slow",
   "The runs of a worker take longer than other tasks of the same steps; gangs and work that may "
@@ -313,6 +323,19 @@
   metric_type::kCounter, "briarwind_node_limit_waits_total", "resource",
   "Waits of jobs for their organisation's limit by the resource that is used up."
 };
+inline constexpr metric_kind kIdleWaits{
+  metric_type::kCounter, "briarwind_node_idle_waits_total", "reason",
+  "Waits of ready steps beside workers with room for a task, by what kept the tasks away."
+};
+inline constexpr metric_kind kStepsBesideIdle{
+  metric_type::kGauge, "briarwind_node_steps_beside_idle", "reason",
+  "Ready steps that wait beside workers with room for a task, by what keeps them away, at the "
+  "leader."
+};
+inline constexpr metric_kind kReservedRacks{
+  metric_type::kGauge, "briarwind_node_reserved_racks", "",
+  "Racks that the leader keeps free of other work for gangs that wait for room."
+};
 inline constexpr metric_kind kCallerCalls{ metric_type::kCounter,
                                            "briarwind_node_caller_calls_total", "outcome",
                                            "Calls of callers by outcome." };
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -275,6 +275,10 @@
 void work_driver::ReportGauges()
 {
   mMetrics.Set(kInterferingPairs, static_cast<double>(mCore.InterferingPairs()));
+  mMetrics.Set(kReservedRacks, static_cast<double>(mCore.ReservedRacks()));
+  for (const idle_wait& each : mCore.IdleWaits()) {
+    mMetrics.Set(kStepsBesideIdle, each.mSteps, ToString(each.mReason));
+  }
   std::map<std::string, organisation_use> reported;
   for (const organisation_use& each : mCore.OrganisationUse()) {
     const bool full = reported.size() >= kMaxReportedOrganisations;
@@ -445,6 +449,9 @@
   if (aEvent.mKind == work_event_kind::kWaitsForLimit) {
     mMetrics.Count(kLimitWaits, aEvent.mReason);
   }
+  if (aEvent.mKind == work_event_kind::kWaitsBesideIdle) {
+    mMetrics.Count(kIdleWaits, aEvent.mReason);
+  }
   LogEvent(LogEventFor(aEvent.mKind),
            { Field("job", aEvent.mJob), Field("task", aEvent.mTask),
              Field("worker", aEvent.mWorker), Field("reason", aEvent.mReason),
--- a/src/libcontrol/work_event_log.cpp
+++ b/src/libcontrol/work_event_log.cpp
@@ -45,6 +45,10 @@
       return kWorkInterferenceForgotten;
     case work_event_kind::kPaceChanged:
       return kWorkPaceChanged;
+    case work_event_kind::kWaitsBesideIdle:
+      return kWorkWaitsBesideIdle;
+    case work_event_kind::kRackReserved:
+      return kWorkRackReserved;
   }
   return kWorkLost;
 }
--- a/src/libwork/gang_reservations.cpp
+++ b/src/libwork/gang_reservations.cpp
@@ -41,12 +41,13 @@
          aNow - aUnit.Entry().mReadySince > kWaitBeforeReservation;
 }
 
-void gang_reservations::Hold(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers)
+std::string gang_reservations::Hold(const ready_unit& aUnit,
+                                    const std::vector<worker_entry*>& aWorkers)
 {
   const std::vector<worker_group> racks = GroupByRack(aWorkers);
   mRacks = std::max(mRacks, racks.size());
   if (mHeld.size() >= std::max<std::size_t>(1, mRacks / kRacksPerReservation)) {
-    return;
+    return {};
   }
   const int needed = static_cast<int>(aUnit.Entry().mTasks.size());
   const worker_group* best = nullptr;
@@ -61,9 +62,11 @@
       bestFit = fitting;
     }
   }
-  if (best != nullptr) {
-    mHeld.emplace(best->mRack, aUnit.mRank);
+  if (best == nullptr) {
+    return {};
   }
+  mHeld.emplace(best->mRack, aUnit.mRank);
+  return best->mRack;
 }
 
 bool gang_reservations::MayUse(const ready_unit& aUnit, const worker_entry& aWorker) const
--- a/src/libwork/gang_reservations.h
+++ b/src/libwork/gang_reservations.h
@@ -14,12 +14,14 @@
 {
 public:
   /// Holds the rack that is closest to having room for the gang, unless it is held already or as
-  /// many racks as may be held are.
+  /// many racks as may be held are. Returns the rack's name; empty if none is held for the gang.
   /// @param aWorkers the workers that the gang may use
-  void Hold(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers);
+  std::string Hold(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers);
   /// Whether the unit may be placed on the worker: it is not held, or held for a unit that comes
   /// behind this one.
   bool MayUse(const ready_unit& aUnit, const worker_entry& aWorker) const;
+  /// Number of racks that are held.
+  std::size_t Racks() const { return mHeld.size(); }
 
 private:
   std::map<std::string, int> mHeld; ///< by rack: the rank of the unit that it is held for
--- a/src/libwork/work_names.cpp
+++ b/src/libwork/work_names.cpp
@@ -73,7 +73,7 @@
 
 std::string_view ToString(work_event_kind aKind)
 {
-  static constexpr std::array<std::string_view, 19> kNames{
+  static constexpr std::array<std::string_view, 21> kNames{
     "job-known",
     "started",
     "start-failed",
@@ -93,10 +93,35 @@
     "worker-slow",
     "worker-not-slow",
     "worker-flaps",
+    "waits-beside-idle",
+    "rack-reserved",
   };
   return NameAt(kNames, aKind);
 }
 
+std::string_view ToString(wait_reason aReason)
+{
+  static constexpr std::array<std::string_view, 16> kNames{
+    "none",
+    "label",
+    "withdrawn",
+    "leaving",
+    "unreachable",
+    "unknown-runs",
+    "quarantined",
+    "avoided",
+    "advice",
+    "reserved",
+    "recent-failure",
+    "per-worker-limit",
+    "locality",
+    "gang",
+    "organisation-limit",
+    "organisation-held-back",
+  };
+  return NameAt(kNames, aReason);
+}
+
 std::span<const work_part_switch> WorkPartSwitches()
 {
   static constexpr std::array kSwitches{
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -215,16 +215,37 @@
   }
 }
 
-bool work_core::state::IsEligible(const worker_entry& aWorker, const ready_unit& aUnit,
-                                  instant aNow) const
+wait_reason work_core::state::Ineligibility(const worker_entry& aWorker, const ready_unit& aUnit,
+                                            instant aNow) const
 {
   const work_step& spec = aUnit.Spec();
   const registered_worker& info = aWorker.mInfo;
-  return aWorker.mListed && aWorker.mReachable && aWorker.mOrphans.empty() && !info.mLeaving &&
-         info.mService == aUnit.mQueue->mService && aWorker.mQuarantinedUntil <= aNow &&
-         aWorker.mAvoidedUntil <= aNow &&
-         std::ranges::count(mSettings.mWithdrawnDomains, info.mDomain) == 0 &&
-         (spec.mRequiredLabel.empty() || std::ranges::count(info.mLabels, spec.mRequiredLabel) > 0);
+  if (!spec.mRequiredLabel.empty() && std::ranges::count(info.mLabels, spec.mRequiredLabel) == 0) {
+    return wait_reason::kLabel;
+  }
+  if (std::ranges::count(mSettings.mWithdrawnDomains, info.mDomain) > 0) {
+    return wait_reason::kWithdrawn;
+  }
+  if (info.mLeaving) {
+    return wait_reason::kLeaving;
+  }
+  if (!aWorker.mReachable) {
+    return wait_reason::kUnreachable;
+  }
+  if (!aWorker.mOrphans.empty()) {
+    return wait_reason::kUnknownRuns;
+  }
+  if (aWorker.mQuarantinedUntil > aNow) {
+    return wait_reason::kQuarantined;
+  }
+  return aWorker.mAvoidedUntil > aNow ? wait_reason::kAvoided : wait_reason::kNone;
+}
+
+bool work_core::state::IsEligible(const worker_entry& aWorker, const ready_unit& aUnit,
+                                  instant aNow) const
+{
+  return aWorker.mListed && aWorker.mInfo.mService == aUnit.mQueue->mService &&
+         Ineligibility(aWorker, aUnit, aNow) == wait_reason::kNone;
 }
 
 bool work_core::state::IsUsable(const worker_entry& aWorker, const ready_unit& aUnit,
@@ -238,6 +259,8 @@
   UpdateWorkerRates(aNow);
   UpdateWorkerPresence(aNow);
   mWithoutRoom.clear();
+  mIdleWaitChecks = 0;
+  std::ranges::for_each(mIdleWaits | std::views::values, [](int& aSteps) { aSteps = 0; });
   std::vector<ready_unit> units = ReadyUnits(aNow);
   for (ready_unit& unit : units) {
     ConvertClaims(unit, aNow);
@@ -250,15 +273,20 @@
   while (ready_unit* unit = order->Next()) {
     const std::string& organisation = unit->mJob->mSpec.mOrganisation;
     const auto hold = held.find(organisation);
-    if (hold != held.end() && unit->mRank >= hold->second) {
+    const bool isHeldBack = hold != held.end() && unit->mRank >= hold->second;
+    if (!isHeldBack) {
+      PlaceOrEvict(*unit, reservations, aNow);
+    }
+    RecordIdleWait(*unit, reservations, isHeldBack, aNow);
+    if (isHeldBack) {
       continue;
     }
-    PlaceOrEvict(*unit, reservations, aNow);
     if (unit->mJob->mWaitsForLimit && unit->Spec().mGang &&
         aNow - unit->Entry().mReadySince > kGangLimitWait) {
       held.emplace(organisation, unit->mRank);
     }
   }
+  mReservedRacks = reservations.Racks();
 }
 
 void work_core::state::PlaceOrEvict(ready_unit& aUnit, gang_reservations& aReservations,
@@ -278,18 +306,18 @@
   if (allowed.empty()) {
     return;
   }
+  std::string reserved;
   const bool mayStopOthers = urgent || aUnit.Spec().mLongRunning;
-  if (PlaceUnit(aUnit, allowed, aReservations, aNow)) {
-    return;
-  }
-  if (mayStopOthers) {
+  const bool isPlaced = PlaceUnit(aUnit, allowed, aReservations, aNow);
+  if (!isPlaced && mayStopOthers) {
     const std::vector<int> unplaced = TasksWithinLimit(aUnit);
     if (!unplaced.empty()) {
       PlaceByEviction(aUnit, unplaced, aNow);
     }
-  } else if (mOptions.mParts.mReservations && NeedsReservation(aUnit, aNow)) {
-    aReservations.Hold(aUnit, UsableWorkers(aUnit, aNow));
+  } else if (!isPlaced && mOptions.mParts.mReservations && NeedsReservation(aUnit, aNow)) {
+    reserved = aReservations.Hold(aUnit, UsableWorkers(aUnit, aNow));
   }
+  RecordReservation(aUnit, reserved, aNow);
 }
 
 task_demand work_core::state::TotalCapacity() const
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -74,6 +74,11 @@
   bool mReady = false;                           ///< all steps that it depends on are done
   std::map<std::string, advised_worker> mAdvice; ///< by worker
   bool mAdvicePending = false;                   ///< a request to the advisor is in flight
+  /// What keeps tasks away from workers that have room, as of mIdleWaitCheckedAt.
+  wait_reason mIdleWait = wait_reason::kNone;
+  instant mIdleWaitCheckedAt;
+  std::string mReservedRack; ///< gang only: the reservation that was logged; empty: none since
+  instant mReservationLoggedAt;
 
   bool IsDone() const { return mDone == static_cast<int>(mTasks.size()); }
   /// Failed runs of a gang, each counted once.
@@ -290,6 +295,9 @@
   bool mHasTargets = false;      ///< a job with a latency target was added in this term
   instant mInterferenceExpiryAt; ///< when the model's entries are next checked for their age
   std::vector<task_demand> mWithoutRoom; ///< no worker has room for these, in the present pass
+  std::map<wait_reason, int> mIdleWaits; ///< number of steps, as of the last pass
+  int mIdleWaitChecks = 0;               ///< in the present pass
+  std::size_t mReservedRacks = 0;        ///< in the last pass
 
   // work_jobs.cpp
   void RestoreJob(job_entry& aJob, const stored_job& aStored, instant aNow);
@@ -405,6 +413,14 @@
   void StopOwnWorkForLimit(const ready_unit& aUnit, instant aNow);
   bool IsBeyondRate(const job_entry& aJob, instant aObjective, instant aNow);
 
+  // work_idle_waits.cpp
+  /// Records what keeps the unit's tasks away from workers that have room for them.
+  void RecordIdleWait(ready_unit& aUnit, const gang_reservations& aReservations, bool aHeldBack,
+                      instant aNow);
+  void RecordReservation(const ready_unit& aUnit, const std::string& aRack, instant aNow);
+  wait_reason IdleWaitReason(const worker_entry& aWorker, const ready_unit& aUnit,
+                             const gang_reservations& aReservations, instant aNow) const;
+
   // work_schedule.cpp
   void PlaceAll(instant aNow);
   void PlaceOrEvict(ready_unit& aUnit, gang_reservations& aReservations, instant aNow);
@@ -422,6 +438,9 @@
   /// Whether the unit's queue needs no advice, or the advisor approved the worker for the step.
   bool IsApproved(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
   void RequestAdvice(const ready_unit& aUnit, instant aNow);
+  /// Why the worker may not run the unit's step, the advisor's approval aside; kNone if it may.
+  wait_reason Ineligibility(const worker_entry& aWorker, const ready_unit& aUnit,
+                            instant aNow) const;
   /// Whether the worker may run the unit's step, the advisor's approval aside.
   bool IsEligible(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
   bool IsUsable(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
