Racks are reserved for gangs only where the per-worker limit lets them fit

The gang has nine tasks, at most one a worker, and the service has eight workers.

Cause: gang_reservations::LargestFit, which rules out racks that the gang can never fit on, counted by capacity alone and left out the step's per-worker limit. The rack was held, and MayUse kept all units of the same or a lower rank away from it.

Change: a worker counts for no more tasks than the step may have there. A gang that waits has no runs, so that the limit is not used up.

--- a/src/libwork/gang_reservations.cpp
+++ b/src/libwork/gang_reservations.cpp
@@ -24,11 +24,14 @@
   return fitting;
 }
 
+// A gang that waits has no runs, so that its per-worker limit is not used up on any worker.
 int LargestFit(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers)
 {
+  const work_step& spec = aUnit.Spec();
+  const int most = spec.mPerWorkerLimit > 0 ? spec.mPerWorkerLimit : spec.mCount;
   int fitting = 0;
   for (const worker_entry* each : aWorkers) {
-    fitting += FitCount(each->mInfo.mCapacity, CapacityDemand(aUnit.Spec()));
+    fitting += std::min(FitCount(each->mInfo.mCapacity, CapacityDemand(spec)), most);
   }
   return fitting;
 }
