A rack is reserved for a gang only while its runs end soon enough for it

A rack counted as one that the gang fits on by its whole capacity, whatever runs there: beside a long-running task, which ends with its job, or a run of an hour, the rest of the rack stayed idle until the gang was late (with an estimate of an hour: two hours).

Change: ExpectedRoomAt lets the runs of a rack end one after the other, at their measured speed or after their expected time, and tells when all tasks fit. A rack is held only if that is before the gang's latest useful start (its objective less its run time, and at least its run time from now). Long-running runs do not end. Until then units that end before it may use the rack; for half as much again as their expected time, three times that away from their data; a unit of unknown length may not. At most 16 estimates a pass. The gang's own reservation is no longer given as the reason why it waits.

Ruled out: a fixed bound on the time of a reservation. Runs of hours would then never leave a rack to a wide gang.

Test: libwork/gang_reservations_test, "since a long-running task occupies a worker that it needs" and "a gang waits for the run that occupies the last worker it needs"; the story failed before. work_heavy_load_test, whose gang waits for a rack while single tasks keep coming, passes.

--- a/src/libwork/gang_reservations.cpp
+++ b/src/libwork/gang_reservations.cpp
@@ -3,6 +3,7 @@
 #include "work_placement.h"
 
 #include <algorithm>
+#include <functional>
 #include <ranges>
 
 namespace briarwind {
@@ -13,28 +14,28 @@
 constexpr milliseconds kWaitBeforeReservation{ 1'000 };
 // At most one in this many racks is held, so that a few wide gangs cannot idle the fleet.
 constexpr std::size_t kRacksPerReservation = 8;
+// Each estimate goes through all runs of a rack, so their number in a pass is limited.
+constexpr int kMaxEstimatesPerPass = 16;
+// A run may take this many times its expected time: tasks of one step differ by 30%, and slow
+// workers take 1.25 times as long.
+constexpr double kRunTimeMargin = 1.5;
 
 int FittingTasks(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers)
 {
   int fitting = 0;
   for (const worker_entry* each : aWorkers) {
-    fitting +=
+    const int slots =
       std::min(FitCount(each->Free(), CapacityDemand(aUnit.Spec())), StepLimit(*each, aUnit));
+    fitting += std::min(slots, aUnit.Spec().mCount);
   }
   return fitting;
 }
 
-// A gang that waits has no runs, so that its per-worker limit is not used up on any worker.
-int LargestFit(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers)
+struct reservable_rack
 {
-  const work_step& spec = aUnit.Spec();
-  const int most = spec.mPerWorkerLimit > 0 ? spec.mPerWorkerLimit : spec.mCount;
-  int fitting = 0;
-  for (const worker_entry* each : aWorkers) {
-    fitting += std::min(FitCount(each->mInfo.mCapacity, CapacityDemand(spec)), most);
-  }
-  return fitting;
-}
+  const worker_group* mGroup = nullptr;
+  int mFitting = 0; ///< tasks that fit now
+};
 
 } // namespace
 
@@ -44,38 +45,55 @@
          aNow - aUnit.Entry().mReadySince > kWaitBeforeReservation;
 }
 
+bool EndsBy(const ready_unit& aUnit, const worker_entry& aWorker, instant aBy, instant aNow)
+{
+  if (aUnit.Spec().mLongRunning || aUnit.mExpectedTime.count() == 0) {
+    return false;
+  }
+  const int remote = IsRemote(aWorker, aUnit.Spec()) ? kRemoteFactor : 1;
+  return aNow + kRunTimeMargin * remote * aUnit.mExpectedTime <= aBy;
+}
+
+// A gang that has room for all its tasks now is kept back by something that a reservation does not
+// change.
 std::string gang_reservations::Hold(const ready_unit& aUnit,
-                                    const std::vector<worker_entry*>& aWorkers)
+                                    const std::vector<worker_entry*>& aWorkers,
+                                    const room_estimate& aRoomAt)
 {
-  const std::vector<worker_group> racks = GroupByRack(aWorkers);
-  mRacks = std::max(mRacks, racks.size());
+  const std::vector<worker_group> groups = GroupByRack(aWorkers);
+  mRacks = std::max(mRacks, groups.size());
   if (mHeld.size() >= std::max<std::size_t>(1, mRacks / kRacksPerReservation)) {
     return {};
   }
   const int needed = static_cast<int>(aUnit.Entry().mTasks.size());
-  const worker_group* best = nullptr;
-  int bestFit = 0;
-  for (const worker_group& rack : racks) {
-    if (mHeld.contains(rack.mRack) || LargestFit(aUnit, rack.mWorkers) < needed) {
+  std::vector<reservable_rack> racks;
+  for (const worker_group& each : groups) {
+    if (mHeld.contains(each.mRack) || !CanEverFit(aUnit, each.mWorkers, needed)) {
       continue;
     }
-    const int fitting = FittingTasks(aUnit, rack.mWorkers);
-    if (best == nullptr || fitting > bestFit) {
-      best = &rack;
-      bestFit = fitting;
+    const int fitting = FittingTasks(aUnit, each.mWorkers);
+    if (fitting < needed) {
+      racks.push_back({ &each, fitting });
     }
   }
-  if (best == nullptr) {
-    return {};
+  std::ranges::stable_sort(racks, std::ranges::greater(), &reservable_rack::mFitting);
+  for (const reservable_rack& each : racks) {
+    if (++mEstimates > kMaxEstimatesPerPass) {
+      return {};
+    }
+    if (const auto roomAt = aRoomAt(each.mGroup->mWorkers)) {
+      mHeld[each.mGroup->mRack] = { &aUnit.Entry(), aUnit.mRank, *roomAt };
+      return each.mGroup->mRack;
+    }
   }
-  mHeld.emplace(best->mRack, aUnit.mRank);
-  return best->mRack;
+  return {};
 }
 
 bool gang_reservations::MayUse(const ready_unit& aUnit, const worker_entry& aWorker) const
 {
   const auto held = mHeld.find(aWorker.mInfo.mRack);
-  return held == mHeld.end() || aUnit.mRank < held->second;
+  return held == mHeld.end() || held->second.mGang == &aUnit.Entry() ||
+         aUnit.mRank < held->second.mRank || EndsBy(aUnit, aWorker, held->second.mNeededAt, mNow);
 }
 
 } // namespace briarwind
--- a/src/libwork/gang_reservations.h
+++ b/src/libwork/gang_reservations.h
@@ -2,33 +2,57 @@
 
 #include "work_table.h"
 
-#include <set>
+#include <functional>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace briarwind {
 
+/// When these workers are expected to have room for a gang; nullopt if not soon enough.
+using room_estimate = std::function<std::optional<instant>(const std::vector<worker_entry*>&)>;
+
 /// Racks that are held for gangs that wait for room, so that work placed later does not keep taking
 /// the capacity that comes free there. Lasts for one decision pass.
 class gang_reservations
 {
 public:
-  /// Holds the rack that is closest to having room for the gang, unless it is held already or as
-  /// many racks as may be held are. Returns the rack's name; empty if none is held for the gang.
+  explicit gang_reservations(instant aNow)
+    : mNow(aNow)
+  {
+  }
+
+  /// Holds the rack that is closest to having room for the gang, unless it is held already, is not
+  /// expected to have room soon enough, or as many racks as may be held are. Returns the rack's
+  /// name; empty if none is held for the gang.
   /// @param aWorkers the workers that the gang may use
-  std::string Hold(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers);
-  /// Whether the unit may be placed on the worker: it is not held, or held for a unit that comes
-  /// behind this one.
+  std::string Hold(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers,
+                   const room_estimate& aRoomAt);
+  /// Whether the unit may be placed on the worker: it is not held, or held for the unit itself or
+  /// for one that comes behind it, or the unit ends before the worker is needed.
   bool MayUse(const ready_unit& aUnit, const worker_entry& aWorker) const;
   /// Number of racks that are held.
   std::size_t Racks() const { return mHeld.size(); }
 
 private:
-  std::map<std::string, int> mHeld; ///< by rack: the rank of the unit that it is held for
+  struct reservation
+  {
+    const step_entry* mGang = nullptr;
+    int mRank = 0;     ///< of the gang
+    instant mNeededAt; ///< when the gang is expected to start
+  };
+
+  instant mNow;
+  std::map<std::string, reservation> mHeld; ///< by rack
   std::size_t mRacks = 0;
+  int mEstimates = 0; ///< made in this pass
 };
 
 /// Whether the unit is a gang that has waited long enough for a reservation.
 bool NeedsReservation(const ready_unit& aUnit, instant aNow);
 
+/// Whether a run of the unit that starts now on the worker is expected to end by aBy.
+bool EndsBy(const ready_unit& aUnit, const worker_entry& aWorker, instant aBy, instant aNow);
+
 } // namespace briarwind
--- a/src/libwork/gang_reservations_test.cpp
+++ b/src/libwork/gang_reservations_test.cpp
@@ -28,6 +28,12 @@
   return aJob;
 }
 
+// One task that occupies a whole worker for aTime, and says so.
+work_job Single(const std::string& aId, milliseconds aTime)
+{
+  return WithEstimate(Job(aId, "low", { Step(1, 8) }), aTime);
+}
+
 // Submits the gang, waits until it may have a reservation, and returns how many tasks of a short
 // job of lower priority are started then.
 int StartedBehind(fleet_simulation& aFleet, const work_job& aGang)
@@ -55,5 +61,52 @@
     gang.mSteps[0].mPerWorkerLimit = 1;
     BW_EQUAL(2, StartedBehind(fleet, gang));
   }
+  BW_SECTION("since a long-running task occupies a worker that it needs")
+  {
+    work_job service = Single("service", kMinute);
+    service.mSteps[0].mLongRunning = true;
+    fleet.Submit(service, kHour);
+    fleet.Run(milliseconds(200));
+    BW_EQUAL(2, StartedBehind(fleet, WithEstimate(Gang("gang", "batch", 4, 8), kHour)));
+  }
+  BW_CHECK(fleet.mViolations.empty());
+}
+
+// Guards against idle racks that are reserved for a gang which cannot start there for a long time.
+// Four workers of eight accelerators form one rack, of which one is occupied.
+BW_STORY("a gang waits for the run that occupies the last worker it needs")
+{
+  fleet_simulation fleet(4, 1);
+  fleet.SetSettings(TwoQueues());
+  fleet.Run(milliseconds(200));
+  const work_job gang = WithEstimate(Gang("gang", "batch", 4, 8), kMinute);
+
+  BW_SECTION("nothing is reserved if that run takes longer than the gang's objective allows")
+  {
+    fleet.Submit(Single("single", kHour), kHour);
+    fleet.Run(milliseconds(200));
+    BW_EQUAL(2, StartedBehind(fleet, gang));
+    BW_EQUAL(0, fleet.Events(work_event_kind::kRackReserved));
+  }
+  BW_SECTION("a reserved rack is used by work that ends before the gang can start")
+  {
+    fleet.Submit(Single("single", milliseconds(20'000)), milliseconds(20'000));
+    fleet.Run(milliseconds(200));
+    BW_EQUAL(2, StartedBehind(fleet, gang));
+    BW_EQUAL(1, fleet.Events(work_event_kind::kRackReserved));
+  }
+  BW_SECTION("and not by work that would delay the gang")
+  {
+    fleet.Submit(Single("single", milliseconds(20'000)), milliseconds(20'000));
+    fleet.Run(milliseconds(200));
+    fleet.Submit(gang, kMinute);
+    fleet.Run(milliseconds(1'500));
+    fleet.Submit(Single("long", kMinute), kMinute);
+    work_job unknown = WithEstimate(Job("unknown", "low", { Step(1, 1) }), milliseconds(0));
+    fleet.Submit(unknown, kMinute);
+    fleet.Run(milliseconds(19'500));
+    BW_EQUAL(0, fleet.Starts("long") + fleet.Starts("unknown"));
+    BW_EQUAL(4, fleet.LiveRuns("gang"));
+  }
   BW_CHECK(fleet.mViolations.empty());
 }
--- a/src/libwork/work_departure.cpp
+++ b/src/libwork/work_departure.cpp
@@ -25,15 +25,20 @@
 } // namespace
 
 // Estimated from the run's speed so far, or from its expected run time while it has not made enough
-// progress.
-bool work_core::state::IsExpectedToEndBy(const run_id& aRun, const run_entry& aEntry, instant aBy)
+// progress. A run whose job is unknown ends at no time that is known.
+instant work_core::state::ExpectedEnd(const run_id& aRun, const run_entry& aEntry)
 {
   if (const auto end = MeasuredEnd(aEntry)) {
-    return *end <= aBy;
+    return *end;
   }
   const job_entry* job = FindJob(aRun.mTask.mJob);
   const work_step* step = FindSpec(aRun.mTask);
-  return step != nullptr && aEntry.mStartedAt + ExpectedRunTime(job->mSpec, *step) <= aBy;
+  return step == nullptr ? instant::max() : aEntry.mStartedAt + ExpectedRunTime(job->mSpec, *step);
+}
+
+bool work_core::state::IsExpectedToEndBy(const run_id& aRun, const run_entry& aEntry, instant aBy)
+{
+  return ExpectedEnd(aRun, aEntry) <= aBy;
 }
 
 // A worker that leaves cuts off the runs it still has, and afterwards answers no polls: their tasks
--- a/src/libwork/work_names.cpp
+++ b/src/libwork/work_names.cpp
@@ -102,22 +102,10 @@
 std::string_view ToString(wait_reason aReason)
 {
   static constexpr std::array<std::string_view, 16> kNames{
-    "none",
-    "label",
-    "withdrawn",
-    "leaving",
-    "unreachable",
-    "unknown-runs",
-    "quarantined",
-    "avoided",
-    "advice",
-    "reserved",
-    "recent-failure",
-    "per-worker-limit",
-    "locality",
-    "gang",
-    "organisation-limit",
-    "organisation-held-back",
+    "none",        "label",        "withdrawn",          "leaving",
+    "unreachable", "unknown-runs", "quarantined",        "avoided",
+    "advice",      "reserved",     "recent-failure",     "per-worker-limit",
+    "locality",    "gang",         "organisation-limit", "organisation-held-back",
   };
   return NameAt(kNames, aReason);
 }
--- a/src/libwork/work_placement.cpp
+++ b/src/libwork/work_placement.cpp
@@ -289,6 +289,23 @@
   return std::min(probeLimit, std::max(limit - onWorker, 0));
 }
 
+int LargestFit(const worker_entry& aWorker, const ready_unit& aUnit)
+{
+  const work_step& spec = aUnit.Spec();
+  const int most = spec.mPerWorkerLimit > 0 ? spec.mPerWorkerLimit : spec.mCount;
+  return std::min(FitCount(aWorker.mInfo.mCapacity - aWorker.mUsedForGood, CapacityDemand(spec)),
+                  most);
+}
+
+bool CanEverFit(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers, int aTasks)
+{
+  int fitting = 0;
+  return std::ranges::any_of(aWorkers, [&](const worker_entry* aWorker) {
+    fitting += LargestFit(*aWorker, aUnit);
+    return fitting >= aTasks;
+  });
+}
+
 // A worker whose last run failed receives a single run to show whether the worker is healthy again.
 // A gang does not probe at first, since a failure there would lose the work of all its members.
 int ProbeLimit(const worker_entry& aWorker, const ready_unit& aUnit)
--- a/src/libwork/work_placement.h
+++ b/src/libwork/work_placement.h
@@ -27,6 +27,12 @@
 /// How many more tasks of the unit's step the worker may take given its recent failures.
 int ProbeLimit(const worker_entry& aWorker, const ready_unit& aUnit);
 
+/// How many tasks of the unit's step the worker could take once all its runs but the long-running
+/// ones have ended.
+int LargestFit(const worker_entry& aWorker, const ready_unit& aUnit);
+/// Whether these workers could take that many tasks of the unit's step at once, as LargestFit says.
+bool CanEverFit(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers, int aTasks);
+
 /// A kind on the worker that is known to interfere with the unit's tasks; 0 if there is none.
 task_kind InterferingKind(const worker_entry& aWorker, const ready_unit& aUnit);
 /// The worker that would come first if interference were not considered; nullptr if none has room.
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -158,6 +158,7 @@
           unit.mInterfering = InterferingKinds(job.mSpec, unit.mStep);
           unit.mFitsShape = mOptions.mParts.mShapeFit;
           const milliseconds expected = ExpectedRunTime(job.mSpec, job.mSpec.mSteps[step]);
+          unit.mExpectedTime = expected;
           unit.mIsLate = mOptions.mParts.mLateLast && aNow + expected > unit.mObjective;
           unit.mIsNearObjective = mOptions.mParts.mWorkerRates &&
                                   aNow + kNearObjectiveFactor * expected > unit.mObjective;
@@ -266,7 +267,7 @@
     ConvertClaims(unit, aNow);
   }
   const auto order = MakeUnitOrder(units, mLedger, TotalCapacity());
-  gang_reservations reservations;
+  gang_reservations reservations(aNow);
   // Organisations of which a gang has waited long for their limit, with the gang's rank: others of
   // their units would keep using what the gang needs.
   std::map<std::string, int> held;
@@ -315,7 +316,10 @@
       PlaceByEviction(aUnit, unplaced, aNow);
     }
   } else if (!isPlaced && mOptions.mParts.mReservations && NeedsReservation(aUnit, aNow)) {
-    reserved = aReservations.Hold(aUnit, UsableWorkers(aUnit, aNow));
+    reserved = aReservations.Hold(
+      aUnit, UsableWorkers(aUnit, aNow), [&](const std::vector<worker_entry*>& aWorkers) {
+        return ExpectedRoomAt(aUnit, aWorkers, LatestUsefulStart(aUnit, aNow), aNow);
+      });
   }
   RecordReservation(aUnit, reserved, aNow);
 }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -195,6 +195,7 @@
   std::map<run_id, run_entry> mRuns;
   std::set<run_id> mOrphans; ///< runs in the worker's report that this leader has no record of
   task_demand mUsed;         ///< by all runs
+  task_demand mUsedForGood;  ///< by long-running runs, which end only when they are stopped
   task_demand mClaimed;      ///< by tasks in kClaimed
   /// Ends, by number, whose record is not stored yet: the job and the change that contains the end.
   std::map<std::int64_t, std::pair<std::string, std::int64_t>> mPendingEnds;
@@ -243,8 +244,9 @@
   bool mFitsShape = false;  ///< best fit over all resources
   /// Workers with a successful run since this time are preferred; instant() unless a task failed.
   instant mPreferSuccessSince;
-  instant mObjective; ///< when the job should be finished
-  int mRank = 0;      ///< lower ranks are placed first
+  instant mObjective;              ///< when the job should be finished
+  milliseconds mExpectedTime{ 0 }; ///< of a run; 0: no length is known
+  int mRank = 0;                   ///< lower ranks are placed first
   /// The job was accepted beyond its organisation's rate and comes behind others of its rank.
   bool mBeyondRate = false;
   /// Kinds that slow the unit's tasks or are slowed by them, in ascending order.
@@ -375,6 +377,7 @@
 
   // work_departure.cpp
   void UpdateDeparture(worker_entry& aWorker, instant aNow);
+  instant ExpectedEnd(const run_id& aRun, const run_entry& aEntry);
   bool IsExpectedToEndBy(const run_id& aRun, const run_entry& aEntry, instant aBy);
 
   // work_pacing.cpp
@@ -413,6 +416,15 @@
   void StopOwnWorkForLimit(const ready_unit& aUnit, instant aNow);
   bool IsBeyondRate(const job_entry& aJob, instant aObjective, instant aNow);
 
+  // work_expected_room.cpp
+  /// Capacity is not kept free for a unit that starts later than this.
+  static instant LatestUsefulStart(const ready_unit& aUnit, instant aNow);
+  /// When the workers are expected to have room for all tasks of the unit, as their runs end.
+  /// Returns nullopt if that is not before aBy, or never.
+  std::optional<instant> ExpectedRoomAt(const ready_unit& aUnit,
+                                        const std::vector<worker_entry*>& aWorkers, instant aBy,
+                                        instant aNow);
+
   // work_idle_waits.cpp
   /// Records what keeps the unit's tasks away from workers that have room for them.
   void RecordIdleWait(ready_unit& aUnit, const gang_reservations& aReservations, bool aHeldBack,
