Of a reserved rack only the workers that the gang may use are kept free

A reservation named a rack, so that workers on it that the gang cannot use were idle, too: without the label that the gang requires, of another service whose rack has the same name, or not approved by the advisor.

Change: a reservation names the workers of the rack that the gang may use, as the pass found them.

Test: libwork/gang_reservations_test "a gang waits for workers with a label that others on their rack lack"; failed before (0 of 2 tasks started). It also checks that the gang's own workers are still kept.

--- a/src/libwork/gang_reservations.cpp
+++ b/src/libwork/gang_reservations.cpp
@@ -62,13 +62,15 @@
 {
   const std::vector<worker_group> groups = GroupByRack(aWorkers);
   mRacks = std::max(mRacks, groups.size());
-  if (mHeld.size() >= std::max<std::size_t>(1, mRacks / kRacksPerReservation)) {
+  if (mHeldRacks >= std::max<std::size_t>(1, mRacks / kRacksPerReservation)) {
     return {};
   }
   const int needed = static_cast<int>(aUnit.Entry().mTasks.size());
   std::vector<reservable_rack> racks;
   for (const worker_group& each : groups) {
-    if (mHeld.contains(each.mRack) || !CanEverFit(aUnit, each.mWorkers, needed)) {
+    const bool isHeld = std::ranges::any_of(
+      each.mWorkers, [&](const worker_entry* aWorker) { return mHeld.contains(aWorker); });
+    if (isHeld || !CanEverFit(aUnit, each.mWorkers, needed)) {
       continue;
     }
     const int fitting = FittingTasks(aUnit, each.mWorkers);
@@ -82,7 +84,10 @@
       return {};
     }
     if (const auto roomAt = aRoomAt(each.mGroup->mWorkers)) {
-      mHeld[each.mGroup->mRack] = { &aUnit.Entry(), aUnit.mRank, *roomAt };
+      ++mHeldRacks;
+      for (const worker_entry* worker : each.mGroup->mWorkers) {
+        mHeld[worker] = { &aUnit.Entry(), aUnit.mRank, *roomAt };
+      }
       return each.mGroup->mRack;
     }
   }
@@ -91,7 +96,7 @@
 
 bool gang_reservations::MayUse(const ready_unit& aUnit, const worker_entry& aWorker) const
 {
-  const auto held = mHeld.find(aWorker.mInfo.mRack);
+  const auto held = mHeld.find(&aWorker);
   return held == mHeld.end() || held->second.mGang == &aUnit.Entry() ||
          aUnit.mRank < held->second.mRank || EndsBy(aUnit, aWorker, held->second.mNeededAt, mNow);
 }
--- a/src/libwork/gang_reservations.h
+++ b/src/libwork/gang_reservations.h
@@ -14,7 +14,8 @@
 using room_estimate = std::function<std::optional<instant>(const std::vector<worker_entry*>&)>;
 
 /// Racks that are held for gangs that wait for room, so that work placed later does not keep taking
-/// the capacity that comes free there. Lasts for one decision pass.
+/// the capacity that comes free there. Of a rack, only the workers that the gang may use are held.
+/// Lasts for one decision pass.
 class gang_reservations
 {
 public:
@@ -33,7 +34,7 @@
   /// for one that comes behind it, or the unit ends before the worker is needed.
   bool MayUse(const ready_unit& aUnit, const worker_entry& aWorker) const;
   /// Number of racks that are held.
-  std::size_t Racks() const { return mHeld.size(); }
+  std::size_t Racks() const { return mHeldRacks; }
 
 private:
   struct reservation
@@ -44,9 +45,10 @@
   };
 
   instant mNow;
-  std::map<std::string, reservation> mHeld; ///< by rack
-  std::size_t mRacks = 0;
-  int mEstimates = 0; ///< made in this pass
+  std::map<const worker_entry*, reservation> mHeld;
+  std::size_t mHeldRacks = 0;
+  std::size_t mRacks = 0; ///< the most that a gang of this pass may use
+  int mEstimates = 0;     ///< made in this pass
 };
 
 /// Whether the unit is a gang that has waited long enough for a reservation.
--- a/src/libwork/gang_reservations_test.cpp
+++ b/src/libwork/gang_reservations_test.cpp
@@ -110,3 +110,30 @@
   }
   BW_CHECK(fleet.mViolations.empty());
 }
+
+// Guards against idle workers that are reserved together with their rack, although the gang cannot
+// use them. Two of the four workers of the rack have the label that the gang requires.
+BW_STORY("a gang waits for workers with a label that others on their rack lack")
+{
+  fleet_simulation fleet(4, 1);
+  fleet.SetSettings(TwoQueues());
+  fleet.Worker(0).mInfo.mLabels.emplace_back("large");
+  fleet.Worker(1).mInfo.mLabels.emplace_back("large");
+  fleet.Run(milliseconds(200));
+  work_job single = Single("single", milliseconds(20'000));
+  single.mSteps[0].mRequiredLabel = "large";
+  fleet.Submit(single, milliseconds(20'000));
+  fleet.Run(milliseconds(200));
+  work_job gang = WithEstimate(Gang("gang", "batch", 2, 8), kMinute);
+  gang.mSteps[0].mRequiredLabel = "large";
+  fleet.Submit(gang, kMinute);
+  fleet.Run(milliseconds(1'500));
+  BW_SECTION("the others run work that would delay the gang on its own workers")
+  {
+    fleet.Submit(WithEstimate(Job("long", "low", { Step(2, 8) }), kMinute), kMinute);
+    fleet.Submit(WithEstimate(Job("more", "low", { Step(1, 8) }), kMinute), kMinute);
+    fleet.Run(milliseconds(500));
+    BW_EQUAL(2, fleet.Starts("long"));
+    BW_EQUAL(0, fleet.Starts("more"));
+  }
+}
