A gang that waits for the rack of its data reserves no other rack

On busy workers a step waits for the rack of its data as long as its estimate. A gang did so, and Hold reserved the rack with the most room meanwhile: another one, on which the gang was not placed although it fitted there. With an estimate of an hour that rack was idle for up to an hour.

Change: while the gang waits for its data's rack, only that rack may be reserved for it. WaitsForLocality holds the rule in one place.

Test: libwork/gang_reservations_test "a gang waits for the rack of its data while another rack is idle"; failed before (0 of 2 tasks started).

--- a/src/libwork/gang_reservations_test.cpp
+++ b/src/libwork/gang_reservations_test.cpp
@@ -137,3 +137,26 @@
     BW_EQUAL(0, fleet.Starts("more"));
   }
 }
+
+// Guards against an idle rack that is reserved for a gang which waits for room on another rack,
+// where its data are. The gang fits on the idle rack, but takes three times as long there.
+BW_STORY("a gang waits for the rack of its data while another rack is idle")
+{
+  fleet_simulation fleet(8, 1);
+  fleet.SetSettings(TwoQueues());
+  fleet.Run(milliseconds(200));
+  work_job singles = WithEstimate(Job("singles", "low", { Step(4, 8) }), kMinute);
+  singles.mSteps[0].mRequiredLabel = "r0";
+  fleet.Submit(singles, kMinute);
+  fleet.Run(milliseconds(200));
+  work_job gang = WithEstimate(Gang("gang", "batch", 4, 8), kHour);
+  gang.mSteps[0].mDataRack = "r0";
+  fleet.Submit(gang, kMinute);
+  fleet.Run(milliseconds(1'500));
+  BW_SECTION("the idle rack runs other work")
+  {
+    fleet.Submit(WithEstimate(Job("long", "low", { Step(2, 1) }), kHour), kMinute);
+    fleet.Run(milliseconds(500));
+    BW_EQUAL(2, fleet.Starts("long"));
+  }
+}
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -316,10 +316,7 @@
       PlaceByEviction(aUnit, unplaced, aNow);
     }
   } else if (!isPlaced && mOptions.mParts.mReservations && NeedsReservation(aUnit, aNow)) {
-    reserved = aReservations.Hold(
-      aUnit, UsableWorkers(aUnit, aNow), [&](const std::vector<worker_entry*>& aWorkers) {
-        return ExpectedRoomAt(aUnit, aWorkers, LatestUsefulStart(aUnit, aNow), aNow);
-      });
+    reserved = ReserveRack(aUnit, aReservations, aNow);
   }
   RecordReservation(aUnit, reserved, aNow);
 }
@@ -361,6 +358,32 @@
   return usable;
 }
 
+// On busy workers, a run near its data soon comes free as a rule, and a run away from them would
+// take several times as long.
+bool work_core::state::WaitsForLocality(const ready_unit& aUnit,
+                                        const std::vector<worker_entry*>& aWorkers,
+                                        instant aNow) const
+{
+  const milliseconds wait = IsBusy(aWorkers)
+                              ? std::max(mOptions.mLocalityWait, aUnit.Spec().mEstimate)
+                              : mOptions.mLocalityWait;
+  return aNow - aUnit.Entry().mReadySince < wait;
+}
+
+// While a gang waits for the rack of its data, it would not use another one.
+std::string work_core::state::ReserveRack(const ready_unit& aUnit, gang_reservations& aReservations,
+                                          instant aNow)
+{
+  std::vector<worker_entry*> usable = UsableWorkers(aUnit, aNow);
+  if (WaitsForLocality(aUnit, usable, aNow)) {
+    std::erase_if(usable,
+                  [&](const worker_entry* aWorker) { return IsRemote(*aWorker, aUnit.Spec()); });
+  }
+  return aReservations.Hold(aUnit, usable, [&](const std::vector<worker_entry*>& aWorkers) {
+    return ExpectedRoomAt(aUnit, aWorkers, LatestUsefulStart(aUnit, aNow), aNow);
+  });
+}
+
 bool work_core::state::PlaceUnit(ready_unit& aUnit, const std::vector<int>& aTasks,
                                  const gang_reservations& aReservations, instant aNow)
 {
@@ -371,12 +394,8 @@
   std::vector<worker_entry*> usable = UsableWorkers(aUnit, aNow);
   std::erase_if(
     usable, [&](const worker_entry* aWorker) { return !aReservations.MayUse(aUnit, *aWorker); });
-  const bool busy = IsBusy(usable);
-  const auto waited = aNow - aUnit.Entry().mReadySince;
-  const milliseconds localityWait =
-    busy ? std::max(mOptions.mLocalityWait, aUnit.Spec().mEstimate) : mOptions.mLocalityWait;
-  const bool ignoreLocality = waited >= localityWait;
-  const placement_result placed = FindPlaces(aUnit, aTasks, usable, ignoreLocality);
+  const placement_result placed =
+    FindPlaces(aUnit, aTasks, usable, !WaitsForLocality(aUnit, usable, aNow));
   RecordSeparation(aUnit, usable, placed.mPlaces);
   AddRuns(aUnit, placed.mPlaces, aNow);
   return placed.mPlaces.size() == aTasks.size();
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -461,6 +461,12 @@
   /// Returns whether all the given tasks, or none of a gang that cannot be placed yet, are placed.
   bool PlaceUnit(ready_unit& aUnit, const std::vector<int>& aTasks,
                  const gang_reservations& aReservations, instant aNow);
+  /// Whether the unit waits for workers near its data, or a gang for a rack that holds all of it.
+  /// @param aWorkers the workers that the unit may use
+  bool WaitsForLocality(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers,
+                        instant aNow) const;
+  /// Returns the rack that is reserved for the gang; empty if there is none.
+  std::string ReserveRack(const ready_unit& aUnit, gang_reservations& aReservations, instant aNow);
   void AddRuns(const ready_unit& aUnit, const std::vector<std::pair<int, worker_entry*>>& aPlaces,
                instant aNow);
   void ConvertClaims(ready_unit& aUnit, instant aNow);
