An organisation is held back only for a gang that its limit can hold soon

A gang that had waited 2 s for its organisation's limit held back all other units of the organisation of its rank and below, whether the gang could ever start or not: with a limit that was lowered below what it needs, long-running tasks that use the limit, no set of workers that could hold it, or runs of an hour in the way.

Change: the organisation is held back only if the workers could hold the gang and its runs, ending one after the other, leave room below the limit before the gang's latest useful start; and not for units that end before then. The estimate goes through all runs, and is made four times a second at most.

What is lost: a gang beside runs of its own organisation that last much longer than its objective allows no longer gets the limit to itself.

Test: libwork/work_limits_test "a gang waits for its organisation's limit beside other work of the organisation", six sections; the story failed before (0 of 2 tasks started in its first section).

--- a/src/libwork/gang_reservations.cpp
+++ b/src/libwork/gang_reservations.cpp
@@ -45,12 +45,12 @@
          aNow - aUnit.Entry().mReadySince > kWaitBeforeReservation;
 }
 
-bool EndsBy(const ready_unit& aUnit, const worker_entry& aWorker, instant aBy, instant aNow)
+bool EndsBy(const ready_unit& aUnit, bool aIsRemote, instant aBy, instant aNow)
 {
   if (aUnit.Spec().mLongRunning || aUnit.mExpectedTime.count() == 0) {
     return false;
   }
-  const int remote = IsRemote(aWorker, aUnit.Spec()) ? kRemoteFactor : 1;
+  const int remote = aIsRemote ? kRemoteFactor : 1;
   return aNow + kRunTimeMargin * remote * aUnit.mExpectedTime <= aBy;
 }
 
@@ -98,7 +98,8 @@
 {
   const auto held = mHeld.find(&aWorker);
   return held == mHeld.end() || held->second.mGang == &aUnit.Entry() ||
-         aUnit.mRank < held->second.mRank || EndsBy(aUnit, aWorker, held->second.mNeededAt, mNow);
+         aUnit.mRank < held->second.mRank ||
+         EndsBy(aUnit, IsRemote(aWorker, aUnit.Spec()), held->second.mNeededAt, mNow);
 }
 
 } // namespace briarwind
--- a/src/libwork/gang_reservations.h
+++ b/src/libwork/gang_reservations.h
@@ -54,7 +54,8 @@
 /// Whether the unit is a gang that has waited long enough for a reservation.
 bool NeedsReservation(const ready_unit& aUnit, instant aNow);
 
-/// Whether a run of the unit that starts now on the worker is expected to end by aBy.
-bool EndsBy(const ready_unit& aUnit, const worker_entry& aWorker, instant aBy, instant aNow);
+/// Whether a run of the unit that starts now is expected to end by aBy.
+/// @param aIsRemote the run is away from its data
+bool EndsBy(const ready_unit& aUnit, bool aIsRemote, instant aBy, instant aNow);
 
 } // namespace briarwind
--- a/src/libwork/work_expected_room.cpp
+++ b/src/libwork/work_expected_room.cpp
@@ -24,9 +24,22 @@
   return std::max(aUnit.mObjective - aUnit.mExpectedTime, aNow + aUnit.mExpectedTime);
 }
 
-// Runs end one after the other until the tasks fit. A run that has exceeded its expected time is
-// expected to take as long again beyond that. A claim becomes a run of unknown length within a stop
-// time; its capacity counts as free by aBy.
+// A run that has exceeded its expected time is expected to exceed it by as much again.
+std::optional<instant> work_core::state::ExpectedRelease(const run_id& aRun,
+                                                         const run_entry& aEntry, instant aNow)
+{
+  if (aEntry.mPhase == run_phase::kStopping) {
+    return aNow;
+  }
+  if (aEntry.mLongRunning) {
+    return std::nullopt;
+  }
+  const instant end = ExpectedEnd(aRun, aEntry);
+  return end < aNow ? aNow + (aNow - end) : end;
+}
+
+// Runs end one after the other until the tasks fit. A claim becomes a run of unknown length within
+// a stop time; its capacity counts as free by aBy.
 std::optional<instant> work_core::state::ExpectedRoomAt(const ready_unit& aUnit,
                                                         const std::vector<worker_entry*>& aWorkers,
                                                         instant aBy, instant aNow)
@@ -46,11 +59,8 @@
     limits.push_back(std::min(StepLimit(*worker, aUnit), needed));
     fitting += fits(index);
     for (const auto& [id, run] : worker->mRuns) {
-      if (run.mPhase == run_phase::kStopping) {
-        releases.push_back({ aNow, index, run.mDemand });
-      } else if (!run.mLongRunning) {
-        const instant end = ExpectedEnd(id, run);
-        releases.push_back({ end < aNow ? aNow + (aNow - end) : end, index, run.mDemand });
+      if (const auto end = ExpectedRelease(id, run, aNow)) {
+        releases.push_back({ *end, index, run.mDemand });
       }
     }
     if (worker->mClaimed != task_demand{}) {
--- a/src/libwork/work_limits.cpp
+++ b/src/libwork/work_limits.cpp
@@ -103,6 +103,36 @@
   return tasks;
 }
 
+// Claims and orphans become runs, or end, within seconds, and are left out.
+std::optional<instant> work_core::state::ExpectedLimitRoomAt(const ready_unit& aUnit, instant aBy,
+                                                             instant aNow)
+{
+  const std::string& organisation = aUnit.mJob->mSpec.mOrganisation;
+  std::vector<std::pair<instant, task_demand>> ends;
+  for (const auto& [id, worker] : mWorkers) {
+    for (const auto& [run, entry] : worker.mRuns) {
+      if (entry.mOrganisation == organisation) {
+        if (const auto end = ExpectedRelease(run, entry, aNow); end && *end <= aBy) {
+          ends.emplace_back(*end, entry.mLimitedDemand);
+        }
+      }
+    }
+  }
+  std::ranges::sort(ends, {}, &std::pair<instant, task_demand>::first);
+  const int needed = static_cast<int>(aUnit.Entry().mTasks.size());
+  const task_demand& demand = LimitedDemand(aUnit.Spec());
+  task_demand left = mLedger.Left(organisation);
+  instant at = aNow;
+  for (const auto& [end, released] : ends) {
+    if (CountWithin(left, demand) >= needed) {
+      break;
+    }
+    left += released;
+    at = end;
+  }
+  return CountWithin(left, demand) >= needed ? std::optional(at) : std::nullopt;
+}
+
 void work_core::state::RecordLimitWait(ready_unit& aUnit, bool aWaits)
 {
   job_entry& job = *aUnit.mJob;
--- a/src/libwork/work_limits_test.cpp
+++ b/src/libwork/work_limits_test.cpp
@@ -284,3 +284,70 @@
     BW_EQUAL(0, fixture.mWrites);
   }
 }
+
+// Guards against an organisation that is held back for the sake of a gang which cannot start, on
+// four workers with 32 accelerators. One run of the organisation is live.
+BW_STORY("a gang waits for its organisation's limit beside other work of the organisation")
+{
+  constexpr milliseconds kHour{ 3'600'000 };
+  constexpr milliseconds kMinute{ 60'000 };
+  fleet_simulation fleet(4, 1);
+  fleet.SetSettings(LimitedSettings({ { "o1", Limit(32, 100) } }));
+  fleet.Run(milliseconds(200));
+  const auto occupy = [&](int aAccelerators, milliseconds aTime, bool aLongRunning) {
+    work_job job = Job("first", "batch", { Step(1, aAccelerators) });
+    job.mSteps[0].mEstimate = aTime;
+    job.mSteps[0].mLongRunning = aLongRunning;
+    fleet.Submit(job, aTime);
+    fleet.Run(milliseconds(200));
+  };
+  work_job gang = Gang("gang", "batch", 4, 7);
+  gang.mSteps[0].mEstimate = kMinute;
+  const auto startedBehind = [&](milliseconds aEstimate) {
+    fleet.Submit(gang, kMinute);
+    fleet.Run(milliseconds(2'500));
+    work_job behind = Job("z", "batch", { Step(2, 2) });
+    behind.mSteps[0].mEstimate = aEstimate;
+    fleet.Submit(behind, aEstimate);
+    fleet.Run(milliseconds(500));
+    return fleet.Starts("z");
+  };
+
+  BW_SECTION("the other work starts if the limit was lowered below what the gang needs")
+  {
+    occupy(8, kHour, false);
+    fleet.SetSettings(LimitedSettings({ { "o1", Limit(16, 100) } }));
+    BW_EQUAL(2, startedBehind(kHour));
+  }
+  BW_SECTION("it starts if long-running tasks use what the gang needs")
+  {
+    occupy(8, kHour, true);
+    BW_EQUAL(2, startedBehind(kHour));
+  }
+  BW_SECTION("it starts if no set of workers can hold the gang")
+  {
+    occupy(8, milliseconds(20'000), false);
+    gang = Gang("gang", "batch", 5, 5);
+    gang.mSteps[0].mPerWorkerLimit = 1;
+    gang.mSteps[0].mEstimate = kMinute;
+    BW_EQUAL(2, startedBehind(kHour));
+  }
+  BW_SECTION("it starts if the gang can't start for longer than its objective allows")
+  {
+    occupy(8, kHour, false);
+    BW_EQUAL(2, startedBehind(kHour));
+  }
+  BW_SECTION("it starts if it ends before the gang can start")
+  {
+    occupy(8, milliseconds(20'000), false);
+    BW_EQUAL(2, startedBehind(milliseconds(2'000)));
+  }
+  BW_SECTION("it waits if it would delay a gang that can start soon")
+  {
+    occupy(8, milliseconds(20'000), false);
+    BW_EQUAL(0, startedBehind(kMinute));
+    fleet.Run(milliseconds(18'000));
+    BW_EQUAL(4, fleet.LiveRuns("gang"));
+  }
+  BW_CHECK(fleet.mViolations.empty());
+}
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -25,6 +25,8 @@
 // A gang that has waited this long for its organisation's limit holds back the organisation's other
 // units of its rank and below. Shorter waits are common while runs end one after the other.
 constexpr milliseconds kGangLimitWait{ 2'000 };
+// How long an estimate of when the limit has room for a gang is used: it goes through all runs.
+constexpr milliseconds kLimitEstimateAge{ 250 };
 
 const work_queue& QueueOf(const work_settings& aSettings, const job_entry& aJob)
 {
@@ -53,6 +55,19 @@
                              [](const task_entry& aTask) { return aTask.mFailures > 0; });
 }
 
+// A gang has waited long for the limit of its organisation: other work of the organisation would
+// keep using what the gang needs.
+struct limit_hold
+{
+  int mRank = 0;     ///< of the gang
+  instant mStartsAt; ///< when the gang is expected to start
+
+  bool HoldsBack(const ready_unit& aUnit, instant aNow) const
+  {
+    return aUnit.mRank >= mRank && !EndsBy(aUnit, !aUnit.Spec().mDataRack.empty(), mStartsAt, aNow);
+  }
+};
+
 int TotalAccelerators(const work_job& aJob)
 {
   int sum = 0;
@@ -268,28 +283,42 @@
   }
   const auto order = MakeUnitOrder(units, mLedger, TotalCapacity());
   gang_reservations reservations(aNow);
-  // Organisations of which a gang has waited long for their limit, with the gang's rank: others of
-  // their units would keep using what the gang needs.
-  std::map<std::string, int> held;
+  std::map<std::string, limit_hold> held; // by organisation
   while (ready_unit* unit = order->Next()) {
     const std::string& organisation = unit->mJob->mSpec.mOrganisation;
     const auto hold = held.find(organisation);
-    const bool isHeldBack = hold != held.end() && unit->mRank >= hold->second;
-    if (!isHeldBack) {
-      PlaceOrEvict(*unit, reservations, aNow);
-    }
-    RecordIdleWait(*unit, reservations, isHeldBack, aNow);
-    if (isHeldBack) {
+    if (hold != held.end() && hold->second.HoldsBack(*unit, aNow)) {
+      RecordIdleWait(*unit, reservations, true, aNow);
       continue;
     }
-    if (unit->mJob->mWaitsForLimit && unit->Spec().mGang &&
-        aNow - unit->Entry().mReadySince > kGangLimitWait) {
-      held.emplace(organisation, unit->mRank);
+    PlaceOrEvict(*unit, reservations, aNow);
+    RecordIdleWait(*unit, reservations, false, aNow);
+    if (const auto startsAt = HeldLimitUntil(*unit, aNow)) {
+      held.emplace(organisation, limit_hold{ unit->mRank, *startsAt });
     }
   }
   mReservedRacks = reservations.Racks();
 }
 
+// Nothing is held back for a gang that the limit or the workers can never hold, or that can only
+// start too late.
+std::optional<instant> work_core::state::HeldLimitUntil(const ready_unit& aUnit, instant aNow)
+{
+  step_entry& step = aUnit.Entry();
+  if (!aUnit.mJob->mWaitsForLimit || !aUnit.Spec().mGang ||
+      aNow - step.mReadySince <= kGangLimitWait) {
+    return std::nullopt;
+  }
+  if (aNow - step.mLimitEstimatedAt >= kLimitEstimateAge) {
+    step.mLimitEstimatedAt = aNow;
+    step.mLimitRoomAt =
+      CanEverFit(aUnit, UsableWorkers(aUnit, aNow), static_cast<int>(step.mTasks.size()))
+        ? ExpectedLimitRoomAt(aUnit, LatestUsefulStart(aUnit, aNow), aNow)
+        : std::nullopt;
+  }
+  return step.mLimitRoomAt;
+}
+
 void work_core::state::PlaceOrEvict(ready_unit& aUnit, gang_reservations& aReservations,
                                     instant aNow)
 {
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -17,6 +17,7 @@
 #include <list>
 #include <map>
 #include <numeric>
+#include <optional>
 #include <ranges>
 #include <set>
 #include <string>
@@ -79,6 +80,10 @@
   instant mIdleWaitCheckedAt;
   std::string mReservedRack; ///< gang only: the reservation that was logged; empty: none since
   instant mReservationLoggedAt;
+  /// Gang only: when its organisation's limit is expected to have room for it, as of
+  /// mLimitEstimatedAt; nullopt: not soon enough.
+  std::optional<instant> mLimitRoomAt;
+  instant mLimitEstimatedAt;
 
   bool IsDone() const { return mDone == static_cast<int>(mTasks.size()); }
   /// Failed runs of a gang, each counted once.
@@ -410,6 +415,9 @@
   void DropExpiredOrphans(worker_entry& aWorker, instant aNow);
   /// The waiting tasks that the organisation's limit lets start now; of a gang all or none.
   std::vector<int> TasksWithinLimit(const ready_unit& aUnit) const;
+  /// When the organisation's limit is expected to have room for all tasks of the unit, as runs of
+  /// the organisation end. Returns nullopt if that is not before aBy, or never.
+  std::optional<instant> ExpectedLimitRoomAt(const ready_unit& aUnit, instant aBy, instant aNow);
   void RecordLimitWait(ready_unit& aUnit, bool aWaits);
   /// Stops work of the unit's own organisation that is worth less, so that the unit fits below the
   /// organisation's limit.
@@ -419,6 +427,8 @@
   // work_expected_room.cpp
   /// Capacity is not kept free for a unit that starts later than this.
   static instant LatestUsefulStart(const ready_unit& aUnit, instant aNow);
+  /// When the run is expected to free its capacity; nullopt for one that only ends when stopped.
+  std::optional<instant> ExpectedRelease(const run_id& aRun, const run_entry& aEntry, instant aNow);
   /// When the workers are expected to have room for all tasks of the unit, as their runs end.
   /// Returns nullopt if that is not before aBy, or never.
   std::optional<instant> ExpectedRoomAt(const ready_unit& aUnit,
@@ -435,6 +445,9 @@
 
   // work_schedule.cpp
   void PlaceAll(instant aNow);
+  /// Until when other work of the unit's organisation is held back for the unit; nullopt: it is
+  /// not.
+  std::optional<instant> HeldLimitUntil(const ready_unit& aUnit, instant aNow);
   void PlaceOrEvict(ready_unit& aUnit, gang_reservations& aReservations, instant aNow);
   std::vector<worker_entry*> UsableWorkers(const ready_unit& aUnit, instant aNow);
   task_demand TotalCapacity() const;
