A step does not wait for a rack that can never hold it

On busy workers a step waits for room near its data, and a rack-local gang for one rack, as long as its estimate says. It did so for racks that cannot hold it, too: withdrawn or leaving, too small, or full of long-running tasks. With an estimate of an hour it waited an hour beside idle workers.

Change: beyond the first 1.5 s it waits only while a place that it prefers can come free, counted from capacity without long-running runs, the per-worker limit and the workers that it may use. Racks reserved for a gang count, since reservations pass.

--- a/src/libwork/work_placement.cpp
+++ b/src/libwork/work_placement.cpp
@@ -306,6 +306,18 @@
   });
 }
 
+bool CanEverFitLocally(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers)
+{
+  const work_step& spec = aUnit.Spec();
+  if (!spec.mDataRack.empty()) {
+    return CanEverFit(aUnit, OnRack(aWorkers, spec.mDataRack), spec.mGang ? spec.mCount : 1);
+  }
+  const std::vector<worker_group> racks = GroupByRack(aWorkers);
+  return std::ranges::any_of(racks, [&](const worker_group& aRack) {
+    return CanEverFit(aUnit, aRack.mWorkers, spec.mCount);
+  });
+}
+
 // A worker whose last run failed receives a single run to show whether the worker is healthy again.
 // A gang does not probe at first, since a failure there would lose the work of all its members.
 int ProbeLimit(const worker_entry& aWorker, const ready_unit& aUnit)
--- a/src/libwork/work_placement.h
+++ b/src/libwork/work_placement.h
@@ -33,6 +33,10 @@
 /// Whether these workers could take that many tasks of the unit's step at once, as LargestFit says.
 bool CanEverFit(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers, int aTasks);
 
+/// Whether a place that the unit prefers can come free: on the rack of its data for at least one
+/// task, or for all tasks of a gang; without data, on one rack for all tasks of a rack-local gang.
+bool CanEverFitLocally(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers);
+
 /// A kind on the worker that is known to interfere with the unit's tasks; 0 if there is none.
 task_kind InterferingKind(const worker_entry& aWorker, const ready_unit& aUnit);
 /// The worker that would come first if interference were not considered; nullptr if none has room.
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -387,16 +387,20 @@
   return usable;
 }
 
-// On busy workers, a run near its data soon comes free as a rule, and a run away from them would
-// take several times as long.
+// On busy workers, a place near the data soon comes free as a rule, and a run away from them would
+// take several times as long. No place comes free on a rack that is withdrawn, too small or full of
+// long-running tasks.
 bool work_core::state::WaitsForLocality(const ready_unit& aUnit,
                                         const std::vector<worker_entry*>& aWorkers,
                                         instant aNow) const
 {
-  const milliseconds wait = IsBusy(aWorkers)
-                              ? std::max(mOptions.mLocalityWait, aUnit.Spec().mEstimate)
-                              : mOptions.mLocalityWait;
-  return aNow - aUnit.Entry().mReadySince < wait;
+  const work_step& spec = aUnit.Spec();
+  const auto waited = aNow - aUnit.Entry().mReadySince;
+  const bool hasPreference = !spec.mDataRack.empty() || (spec.mGang && spec.mRackLocal);
+  if (!hasPreference || waited < mOptions.mLocalityWait) {
+    return hasPreference;
+  }
+  return waited < spec.mEstimate && IsBusy(aWorkers) && CanEverFitLocally(aUnit, aWorkers);
 }
 
 // While a gang waits for the rack of its data, it would not use another one.
@@ -421,10 +425,10 @@
     return false;
   }
   std::vector<worker_entry*> usable = UsableWorkers(aUnit, aNow);
+  const bool waitsForLocality = WaitsForLocality(aUnit, usable, aNow);
   std::erase_if(
     usable, [&](const worker_entry* aWorker) { return !aReservations.MayUse(aUnit, *aWorker); });
-  const placement_result placed =
-    FindPlaces(aUnit, aTasks, usable, !WaitsForLocality(aUnit, usable, aNow));
+  const placement_result placed = FindPlaces(aUnit, aTasks, usable, !waitsForLocality);
   RecordSeparation(aUnit, usable, placed.mPlaces);
   AddRuns(aUnit, placed.mPlaces, aNow);
   return placed.mPlaces.size() == aTasks.size();
