Workers without accelerators do not count as busy

Cause: IsBusy compared accelerators in use with all accelerators. Of workers without any, 0 of 0 counted as half in use, so that the wait was as long as the estimate however idle they were.

Change: workers without accelerators are judged by their fuller resource.

Test: libwork/work_locality_test "a task waits for the rack of its data on workers without accelerators"; failed before (not started after 2.5 s). Its second section checks that the task waits while most workers are in use.

--- a/src/libwork/work_locality_test.cpp
+++ b/src/libwork/work_locality_test.cpp
@@ -78,3 +78,42 @@
     BW_EQUAL(0, fleet.Starts("a"));
   }
 }
+
+// Guards against workers without accelerators that count as busy, so that a task waits as long as
+// its run time for the rack of its data beside idle workers. One rack of three is full.
+BW_STORY("a task waits for the rack of its data on workers without accelerators")
+{
+  fleet_simulation fleet(12, 1);
+  work_settings settings = BatchSettings();
+  settings.mVersion = 1;
+  for (int i = 0; i < fleet.WorkerCount(); ++i) {
+    fleet.Worker(i).mInfo.mCapacity = { 0, 64'000, 262'144 };
+  }
+  fleet.SetSettings(settings);
+  fleet.Run(milliseconds(200));
+  const auto fill = [&](const std::string& aLabel) {
+    work_job job = WithEstimate(Job("full" + aLabel, "batch", { Step(4, 0) }), kHour);
+    job.mSteps[0].mRequiredLabel = aLabel;
+    job.mSteps[0].mDemand = { 0, 64'000, 1'000 };
+    fleet.Submit(job, kHour);
+    fleet.Run(milliseconds(300));
+  };
+  work_job near = WithEstimate(Job("near", "batch", { Step(1, 0) }), kMinute);
+  near.mSteps[0].mDataRack = "r0";
+
+  BW_SECTION("it starts elsewhere after a short wait while most of the workers are idle")
+  {
+    fill("r0");
+    fleet.Submit(near);
+    fleet.Run(milliseconds(2'500));
+    BW_EQUAL(1, fleet.Starts("near"));
+  }
+  BW_SECTION("it goes on waiting while most of the workers are in use")
+  {
+    fill("r0");
+    fill("r1");
+    fleet.Submit(near);
+    fleet.Run(milliseconds(2'500));
+    BW_EQUAL(0, fleet.Starts("near"));
+  }
+}
--- a/src/libwork/work_placement.cpp
+++ b/src/libwork/work_placement.cpp
@@ -243,15 +243,19 @@
   return waiting;
 }
 
+// Workers without accelerators are judged by their fuller resource.
 bool IsBusy(const std::vector<worker_entry*>& aWorkers)
 {
-  int used = 0;
-  int all = 0;
+  task_demand used;
+  task_demand all;
   for (const worker_entry* each : aWorkers) {
-    used += each->mUsed.mAccelerators;
-    all += each->mInfo.mCapacity.mAccelerators;
+    used += each->mUsed;
+    all += each->mInfo.mCapacity;
   }
-  return 2 * used >= all;
+  if (all.mAccelerators > 0) {
+    return 2 * used.mAccelerators >= all.mAccelerators;
+  }
+  return 2 * used.mMilliCores >= all.mMilliCores || 2 * used.mMemoryMb >= all.mMemoryMb;
 }
 
 int FitCount(const task_demand& aFree, const task_demand& aDemand)
--- a/src/libwork/work_placement.h
+++ b/src/libwork/work_placement.h
@@ -15,7 +15,8 @@
 /// Indices of the unit's tasks in kWaiting.
 std::vector<int> WaitingTasks(const ready_unit& aUnit);
 
-/// Whether at least half of the accelerators of these workers are in use.
+/// Whether at least half of the accelerators of these workers are in use; of workers without
+/// accelerators, half of the cores or of the memory.
 bool IsBusy(const std::vector<worker_entry*>& aWorkers);
 
 /// How many tasks of this demand fit into the free capacity.
