The advisor is asked for enough workers, not only for enough room

A gang with one task per worker then waited beside idle workers that the advisor would approve, until its tickets ran out; the next request named the same 30 workers.

Change: an approved worker counts for as many tasks as the step may still have there.

Test: libwork/work_locality_test "a gang may have one task per worker, and few of the first workers are approved"; failed before (0 of 8 tasks started).

--- a/src/libwork/work_advice.cpp
+++ b/src/libwork/work_advice.cpp
@@ -47,7 +47,8 @@
     const bool rejected = previous != step.mAdvice.end() && !previous->second.mApproved &&
                           previous->second.mIncarnation == worker.mInfo.mIncarnation;
     if (IsApproved(worker, aUnit, aNow)) {
-      approvedSlots += static_cast<std::size_t>(std::max(0, FitCount(worker.Free(), demand)));
+      const int slots = std::min(FitCount(worker.Free(), demand), StepLimit(worker, aUnit));
+      approvedSlots += static_cast<std::size_t>(std::min(slots, aUnit.Spec().mCount));
     } else if (!rejected) {
       candidates.push_back(&worker);
     }
--- a/src/libwork/work_locality_test.cpp
+++ b/src/libwork/work_locality_test.cpp
@@ -117,3 +117,26 @@
     BW_EQUAL(0, fleet.Starts("near"));
   }
 }
+
+// Guards against a gang that waits for tickets it does not ask for: the advisor was asked for
+// enough room, but not for enough workers. 40 workers, of which 30 are named in one request.
+BW_STORY("a gang may have one task per worker, and few of the first workers are approved")
+{
+  fleet_simulation fleet(40, 1);
+  work_settings settings = BatchSettings();
+  settings.mVersion = 1;
+  settings.mQueues["batch"].mAsksAdvice = true;
+  fleet.SetSettings(settings);
+  for (const int each : { 0, 1, 2, 3, 32, 33, 34, 35, 36, 37 }) {
+    fleet.mApprovedWorkers.insert(fmt::format("w{:02}", each));
+  }
+  fleet.Run(milliseconds(200));
+  BW_SECTION("the advisor is asked for the other workers, too")
+  {
+    work_job gang = Gang("gang", "batch", 8, 1);
+    gang.mSteps[0].mPerWorkerLimit = 1;
+    fleet.Submit(gang);
+    fleet.Run(milliseconds(1'000));
+    BW_EQUAL(8, fleet.Starts("gang"));
+  }
+}
