The last usable worker with a label is not avoided for being slow

A worker whose runs slow down receives no new runs while they are slow, at most a quarter of all workers at a time. A step that requires a label had no other place when the avoided worker was the only usable one with it, and waited beside an idle worker for as long as the slow run lasted: with a run of hours, hours.

Change: a worker is not avoided, and its avoidance is not extended, while no other usable worker of its service has one of its labels.

Test: libwork/work_health_test "the only worker with a label turns slow"; failed before (0 of 1 task started).

--- a/src/libwork/work_health.cpp
+++ b/src/libwork/work_health.cpp
@@ -1,6 +1,7 @@
 #include "work_table.h"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 namespace briarwind {
@@ -172,9 +173,24 @@
   aRun.mRateClock = clock;
 }
 
+// Work that requires the label has no better place than this worker.
+bool work_core::state::IsLastWithLabel(const worker_entry& aWorker, instant aNow) const
+{
+  return std::ranges::any_of(aWorker.mInfo.mLabels, [&](const std::string& aLabel) {
+    return std::ranges::none_of(mWorkers | std::views::values, [&](const worker_entry& aEach) {
+      return &aEach != &aWorker && aEach.mListed && aEach.mReachable && !aEach.mInfo.mLeaving &&
+             aEach.mInfo.mService == aWorker.mInfo.mService && aEach.mAvoidedUntil <= aNow &&
+             std::ranges::count(aEach.mInfo.mLabels, aLabel) > 0;
+    });
+  });
+}
+
 // When many workers are slow at the same time, there is no better place for new runs.
 void work_core::state::AvoidSlowWorker(worker_entry& aWorker, instant aNow)
 {
+  if (IsLastWithLabel(aWorker, aNow)) {
+    return;
+  }
   if (aWorker.mAvoidedUntil <= aNow) {
     const auto slow = std::ranges::count_if(
       mWorkers, [&](const auto& aEach) { return aEach.second.mAvoidedUntil > aNow; });
--- a/src/libwork/work_health_test.cpp
+++ b/src/libwork/work_health_test.cpp
@@ -158,3 +158,26 @@
   }
   BW_CHECK(fleet.mViolations.empty());
 }
+
+// Guards against a job that waits as long as a slow run lasts, since the only worker with the label
+// that it requires is avoided.
+BW_STORY("the only worker with a label turns slow")
+{
+  fleet_simulation fleet(4, 1);
+  fleet.Worker(0).mInfo.mLabels.emplace_back("large");
+  fleet.Run(milliseconds(200));
+  work_job first = Job("a", "batch", { Step(1, 1) });
+  first.mSteps[0].mRequiredLabel = "large";
+  fleet.Submit(first, milliseconds(20'000));
+  fleet.Run(milliseconds(5'000));
+  fleet.Worker(0).mSlowdown = 5;
+  fleet.Run(milliseconds(3'000));
+  BW_SECTION("work that requires the label starts there all the same")
+  {
+    work_job second = Job("b", "batch", { Step(1, 1) });
+    second.mSteps[0].mRequiredLabel = "large";
+    fleet.Submit(second, milliseconds(500));
+    fleet.Run(milliseconds(500));
+    BW_EQUAL(1, fleet.Starts("b"));
+  }
+}
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -366,6 +366,8 @@
   void ClearStallOnProgress(worker_entry& aWorker, const run_entry& aRun);
   void ClearFailures(worker_entry& aWorker);
   void MeasureRate(worker_entry& aWorker, run_entry& aRun, int aPercent, instant aNow);
+  /// Whether no other worker of the service that could be used has one of the worker's labels.
+  bool IsLastWithLabel(const worker_entry& aWorker, instant aNow) const;
   void AvoidSlowWorker(worker_entry& aWorker, instant aNow);
   void Quarantine(worker_entry& aWorker, instant aNow, std::string_view aReason);
 
