Jobs that fail everywhere no longer get all workers of a service quarantined

A worker that fails a run is quarantined and then gets one run at a time.

Cause: the number of workers that may be restricted for failures had no bound.

Change: a failed run does not restrict a further worker while half of the listed workers of its service are restricted for failed runs. Refused starts and stalls are not counted this way: a refusal says that the worker is at fault, and its quarantine is the pause before the next order.

What is lost: where more than half of the workers of a service fail all their runs, the others of them receive runs without a limit.

Test: libwork/work_health_test "jobs that always fail keep coming"; failed before (0 of 2 tasks started).

--- a/src/libwork/work_health.cpp
+++ b/src/libwork/work_health.cpp
@@ -12,6 +12,8 @@
 // Maximum number of workers that are quarantined for one job's failures: as many as the queues in
 // use allow attempts.
 constexpr std::size_t kMaxPenalisedWorkers = 4;
+// At most one in this many workers of a service is restricted for failed runs.
+constexpr int kWorkersPerFailing = 2;
 // A worker without a further failure returns to normal this long after its quarantine, whether a
 // run was tried there or not: periods in which a worker fails all its runs last 4 to 8 s.
 constexpr milliseconds kProbation{ 5'000 };
@@ -34,6 +36,19 @@
 
 } // namespace
 
+// Workers that fail all their runs are few. Failures on many workers are those of jobs that fail
+// everywhere, and would take the whole service away from other jobs.
+bool work_core::state::AreManyFailing(const std::string& aService) const
+{
+  const auto isOfService = [&](const worker_entry& aWorker) {
+    return aWorker.mListed && aWorker.mInfo.mService == aService;
+  };
+  auto workers = mWorkers | std::views::values | std::views::filter(isOfService);
+  const auto failing = std::ranges::count_if(
+    workers, [](const worker_entry& aWorker) { return aWorker.mFailuresInRow > 0; });
+  return kWorkersPerFailing * failing >= std::ranges::distance(workers);
+}
+
 // A report doesn't say whether the worker or the job is at fault. Several failures of one job
 // during a quarantine therefore count once, and one job's failures count against a few workers at
 // most: a job that always fails would otherwise get every worker quarantined.
@@ -42,7 +57,8 @@
 {
   job_entry* job = FindJob(aRun.mTask.mJob);
   if (job == nullptr ||
-      (aWorker.mQuarantinedUntil > aNow && aWorker.mPenalisedForJob == aRun.mTask.mJob)) {
+      (aWorker.mQuarantinedUntil > aNow && aWorker.mPenalisedForJob == aRun.mTask.mJob) ||
+      (aWorker.mFailuresInRow == 0 && AreManyFailing(aWorker.mInfo.mService))) {
     return;
   }
   if (job->mPenalisedWorkers.size() >= kMaxPenalisedWorkers &&
--- a/src/libwork/work_health_test.cpp
+++ b/src/libwork/work_health_test.cpp
@@ -181,3 +181,32 @@
     BW_EQUAL(1, fleet.Starts("b"));
   }
 }
+
+// Guards against jobs that fail wherever they run and get all workers of a service quarantined, so
+// that other jobs wait beside idle workers.
+BW_STORY("jobs that always fail keep coming")
+{
+  fleet_simulation fleet(4, 1);
+  work_settings settings = BatchSettings();
+  settings.mQueues["batch"].mAttempts = 4;
+  fleet.SetSettings(settings);
+  fleet.Run(milliseconds(200));
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = fmt::format("bad{}", i);
+    fleet.mFailingJobs.insert(id);
+    fleet.Submit(Job(id, "batch", { Step(2, 1) }), milliseconds(300));
+    fleet.Run(milliseconds(300));
+  }
+  BW_SECTION("another job starts on a worker that is not restricted")
+  {
+    fleet.Submit(Job("good", "batch", { Step(2, 1) }), milliseconds(300));
+    fleet.Run(milliseconds(500));
+    BW_EQUAL(2, fleet.Starts("good"));
+  }
+  BW_SECTION("a gang does, too")
+  {
+    fleet.Submit(Gang("good", "batch", 8, 1), milliseconds(300));
+    fleet.Run(milliseconds(500));
+    BW_EQUAL(8, fleet.Starts("good"));
+  }
+}
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -356,6 +356,8 @@
   void ResetForIncarnation(worker_entry& aWorker, std::int64_t aIncarnation, instant aNow);
 
   // work_health.cpp
+  /// Whether half of the workers of the service have failed their last run.
+  bool AreManyFailing(const std::string& aService) const;
   void PenaliseFailure(worker_entry& aWorker, const run_id& aRun, std::string_view aReason,
                        instant aNow);
   milliseconds MaxStall(const worker_entry& aWorker, const run_id& aId, const run_entry& aRun);
