Capacity kept for gangs: one place for reservations, one for limits

No decision changes. What has been logged about a waiting step is a type of its own. The names that Beast calls on a stream are exempt from the naming check where they stand.

--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -87,6 +87,8 @@
   {
   }
 
+  // Beast calls streams by these names.
+  // NOLINTBEGIN(readability-identifier-naming)
   executor_type get_executor() noexcept { return mStream.get_executor(); }
 
   template<class Buffers, class Handler>
@@ -95,6 +97,7 @@
     mStream.expires_after(mStallTimeout);
     return mStream.async_read_some(aBuffers, std::forward<Handler>(aHandler));
   }
+  // NOLINTEND(readability-identifier-naming)
 
 private:
   beast::tcp_stream& mStream;
--- a/src/libwork/gang_reservations.cpp
+++ b/src/libwork/gang_reservations.cpp
@@ -102,4 +102,16 @@
          EndsBy(aUnit, IsRemote(aWorker, aUnit.Spec()), held->second.mNeededAt, mNow);
 }
 
+void limit_holds::Add(const ready_unit& aGang, instant aStartsAt)
+{
+  mHolds.emplace(aGang.mJob->mSpec.mOrganisation, hold{ aGang.mRank, aStartsAt });
+}
+
+bool limit_holds::HoldsBack(const ready_unit& aUnit) const
+{
+  const auto found = mHolds.find(aUnit.mJob->mSpec.mOrganisation);
+  return found != mHolds.end() && aUnit.mRank >= found->second.mRank &&
+         !EndsBy(aUnit, !aUnit.Spec().mDataRack.empty(), found->second.mStartsAt, mNow);
+}
+
 } // namespace briarwind
--- a/src/libwork/gang_reservations.h
+++ b/src/libwork/gang_reservations.h
@@ -51,6 +51,33 @@
   int mEstimates = 0;     ///< made in this pass
 };
 
+/// Organisations of which a gang waits for their limit: others of their units would keep using what
+/// the gang needs. Lasts for one decision pass.
+class limit_holds
+{
+public:
+  explicit limit_holds(instant aNow)
+    : mNow(aNow)
+  {
+  }
+
+  /// Holds back the gang's organisation until the gang is expected to start.
+  void Add(const ready_unit& aGang, instant aStartsAt);
+  /// Whether the unit has to wait: it does not come before such a gang of its organisation, and
+  /// does not end before the gang starts.
+  bool HoldsBack(const ready_unit& aUnit) const;
+
+private:
+  struct hold
+  {
+    int mRank = 0; ///< of the gang
+    instant mStartsAt;
+  };
+
+  instant mNow;
+  std::map<std::string, hold> mHolds; ///< by organisation
+};
+
 /// Whether the unit is a gang that has waited long enough for a reservation.
 bool NeedsReservation(const ready_unit& aUnit, instant aNow);
 
--- a/src/libwork/work_idle_waits.cpp
+++ b/src/libwork/work_idle_waits.cpp
@@ -49,17 +49,18 @@
 void work_core::state::RecordIdleWait(ready_unit& aUnit, const gang_reservations& aReservations,
                                       bool aHeldBack, instant aNow)
 {
-  step_entry& step = aUnit.Entry();
+  const step_entry& step = aUnit.Entry();
+  wait_record& wait = aUnit.Entry().mWait;
   if (WaitingTasks(aUnit).empty()) {
-    step.mIdleWait = wait_reason::kNone;
+    wait.mReason = wait_reason::kNone;
     return;
   }
   const bool isDue = aNow - step.mReadySince >= kMinIdleWait &&
-                     aNow - step.mIdleWaitCheckedAt >= kIdleWaitInterval &&
+                     aNow - wait.mCheckedAt >= kIdleWaitInterval &&
                      mIdleWaitChecks < kMaxChecksPerPass;
   if (isDue) {
     ++mIdleWaitChecks;
-    step.mIdleWaitCheckedAt = aNow;
+    wait.mCheckedAt = aNow;
     const task_demand demand = CapacityDemand(aUnit.Spec());
     const worker_entry* closest = nullptr;
     wait_reason reason = wait_reason::kNone;
@@ -79,28 +80,28 @@
     } else if (closest != nullptr && aUnit.mJob->mWaitsForLimit) {
       reason = wait_reason::kOrganisationLimitUsed;
     }
-    if (std::exchange(step.mIdleWait, reason) != reason && reason != wait_reason::kNone) {
+    if (std::exchange(wait.mReason, reason) != reason && reason != wait_reason::kNone) {
       EmitEvent(work_event_kind::kWaitsBesideIdle, aUnit.mJob->mSpec.mId, ToString(aUnit.Task(0)),
                 closest->mInfo.mId, ToString(reason),
                 std::chrono::duration_cast<milliseconds>(aNow - step.mReadySince));
     }
   }
-  if (step.mIdleWait != wait_reason::kNone) {
-    ++mIdleWaits[step.mIdleWait];
+  if (wait.mReason != wait_reason::kNone) {
+    ++mIdleWaits[wait.mReason];
   }
 }
 
 void work_core::state::RecordReservation(const ready_unit& aUnit, const std::string& aRack,
                                          instant aNow)
 {
-  step_entry& step = aUnit.Entry();
+  wait_record& wait = aUnit.Entry().mWait;
   if (aRack.empty()) {
-    step.mReservedRack.clear();
-  } else if (aRack != step.mReservedRack && aNow - step.mReservationLoggedAt >= kIdleWaitInterval) {
-    step.mReservedRack = aRack;
-    step.mReservationLoggedAt = aNow;
+    wait.mReservedRack.clear();
+  } else if (aRack != wait.mReservedRack && aNow - wait.mReservationLoggedAt >= kIdleWaitInterval) {
+    wait.mReservedRack = aRack;
+    wait.mReservationLoggedAt = aNow;
     EmitEvent(work_event_kind::kRackReserved, aUnit.mJob->mSpec.mId, ToString(aUnit.Task(0)), {},
-              aRack, std::chrono::duration_cast<milliseconds>(aNow - step.mReadySince));
+              aRack, std::chrono::duration_cast<milliseconds>(aNow - aUnit.Entry().mReadySince));
   }
 }
 
--- a/src/libwork/work_limits.cpp
+++ b/src/libwork/work_limits.cpp
@@ -10,6 +10,12 @@
 
 namespace {
 
+// A gang that has waited this long for its organisation's limit holds back the organisation's other
+// units of its rank and below. Shorter waits are common while runs end one after the other.
+constexpr milliseconds kGangLimitWait{ 2'000 };
+// How long an estimate of when the limit has room for a gang is used: it goes through all runs.
+constexpr milliseconds kLimitEstimateAge{ 250 };
+
 // What a task takes of its organisation's limit. The cores of best-effort tasks count, although
 // they take none of the worker's capacity.
 const task_demand& LimitedDemand(const work_step& aStep)
@@ -133,6 +139,25 @@
   return CountWithin(left, demand) >= needed ? std::optional(at) : std::nullopt;
 }
 
+// Nothing is held back for a gang that the limit or the workers can never hold, or that can only
+// start too late.
+std::optional<instant> work_core::state::LimitRoomForGang(const ready_unit& aUnit, instant aNow)
+{
+  step_entry& step = aUnit.Entry();
+  if (!aUnit.mJob->mWaitsForLimit || !aUnit.Spec().mGang ||
+      aNow - step.mReadySince <= kGangLimitWait) {
+    return std::nullopt;
+  }
+  if (aNow - step.mLimitEstimatedAt >= kLimitEstimateAge) {
+    step.mLimitEstimatedAt = aNow;
+    step.mLimitRoomAt =
+      CanEverFit(aUnit, UsableWorkers(aUnit, aNow), static_cast<int>(step.mTasks.size()))
+        ? ExpectedLimitRoomAt(aUnit, LatestUsefulStart(aUnit, aNow), aNow)
+        : std::nullopt;
+  }
+  return step.mLimitRoomAt;
+}
+
 void work_core::state::RecordLimitWait(ready_unit& aUnit, bool aWaits)
 {
   job_entry& job = *aUnit.mJob;
--- a/src/libwork/work_expected_room.cpp
+++ b/src/libwork/work_reservations.cpp
@@ -1,3 +1,4 @@
+#include "gang_reservations.h"
 #include "work_placement.h"
 #include "work_table.h"
 
@@ -82,4 +83,18 @@
   return fitting >= needed ? std::optional(at) : std::nullopt;
 }
 
+// While a gang waits for the rack of its data, it would not use another one.
+std::string work_core::state::ReserveRack(const ready_unit& aUnit, gang_reservations& aReservations,
+                                          instant aNow)
+{
+  std::vector<worker_entry*> usable = UsableWorkers(aUnit, aNow);
+  if (WaitsForLocality(aUnit, usable, aNow)) {
+    std::erase_if(usable,
+                  [&](const worker_entry* aWorker) { return IsRemote(*aWorker, aUnit.Spec()); });
+  }
+  return aReservations.Hold(aUnit, usable, [&](const std::vector<worker_entry*>& aWorkers) {
+    return ExpectedRoomAt(aUnit, aWorkers, LatestUsefulStart(aUnit, aNow), aNow);
+  });
+}
+
 } // namespace briarwind
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -22,11 +22,6 @@
 // A run that has less than this many times its expected time left may miss its objective on a slow
 // worker: tasks of one step differ by 30%, and slow workers take 1.25 times as long.
 constexpr double kNearObjectiveFactor = 1.5;
-// A gang that has waited this long for its organisation's limit holds back the organisation's other
-// units of its rank and below. Shorter waits are common while runs end one after the other.
-constexpr milliseconds kGangLimitWait{ 2'000 };
-// How long an estimate of when the limit has room for a gang is used: it goes through all runs.
-constexpr milliseconds kLimitEstimateAge{ 250 };
 
 const work_queue& QueueOf(const work_settings& aSettings, const job_entry& aJob)
 {
@@ -55,19 +50,6 @@
                              [](const task_entry& aTask) { return aTask.mFailures > 0; });
 }
 
-// A gang has waited long for the limit of its organisation: other work of the organisation would
-// keep using what the gang needs.
-struct limit_hold
-{
-  int mRank = 0;     ///< of the gang
-  instant mStartsAt; ///< when the gang is expected to start
-
-  bool HoldsBack(const ready_unit& aUnit, instant aNow) const
-  {
-    return aUnit.mRank >= mRank && !EndsBy(aUnit, !aUnit.Spec().mDataRack.empty(), mStartsAt, aNow);
-  }
-};
-
 int TotalAccelerators(const work_job& aJob)
 {
   int sum = 0;
@@ -283,42 +265,20 @@
   }
   const auto order = MakeUnitOrder(units, mLedger, TotalCapacity());
   gang_reservations reservations(aNow);
-  std::map<std::string, limit_hold> held; // by organisation
+  limit_holds limitHolds(aNow);
   while (ready_unit* unit = order->Next()) {
-    const std::string& organisation = unit->mJob->mSpec.mOrganisation;
-    const auto hold = held.find(organisation);
-    if (hold != held.end() && hold->second.HoldsBack(*unit, aNow)) {
-      RecordIdleWait(*unit, reservations, true, aNow);
-      continue;
+    const bool isHeldBack = limitHolds.HoldsBack(*unit);
+    if (!isHeldBack) {
+      PlaceOrEvict(*unit, reservations, aNow);
     }
-    PlaceOrEvict(*unit, reservations, aNow);
-    RecordIdleWait(*unit, reservations, false, aNow);
-    if (const auto startsAt = HeldLimitUntil(*unit, aNow)) {
-      held.emplace(organisation, limit_hold{ unit->mRank, *startsAt });
+    RecordIdleWait(*unit, reservations, isHeldBack, aNow);
+    if (const auto startsAt = isHeldBack ? std::nullopt : LimitRoomForGang(*unit, aNow)) {
+      limitHolds.Add(*unit, *startsAt);
     }
   }
   mReservedRacks = reservations.Racks();
 }
 
-// Nothing is held back for a gang that the limit or the workers can never hold, or that can only
-// start too late.
-std::optional<instant> work_core::state::HeldLimitUntil(const ready_unit& aUnit, instant aNow)
-{
-  step_entry& step = aUnit.Entry();
-  if (!aUnit.mJob->mWaitsForLimit || !aUnit.Spec().mGang ||
-      aNow - step.mReadySince <= kGangLimitWait) {
-    return std::nullopt;
-  }
-  if (aNow - step.mLimitEstimatedAt >= kLimitEstimateAge) {
-    step.mLimitEstimatedAt = aNow;
-    step.mLimitRoomAt =
-      CanEverFit(aUnit, UsableWorkers(aUnit, aNow), static_cast<int>(step.mTasks.size()))
-        ? ExpectedLimitRoomAt(aUnit, LatestUsefulStart(aUnit, aNow), aNow)
-        : std::nullopt;
-  }
-  return step.mLimitRoomAt;
-}
-
 void work_core::state::PlaceOrEvict(ready_unit& aUnit, gang_reservations& aReservations,
                                     instant aNow)
 {
@@ -403,20 +363,6 @@
   return waited < spec.mEstimate && IsBusy(aWorkers) && CanEverFitLocally(aUnit, aWorkers);
 }
 
-// While a gang waits for the rack of its data, it would not use another one.
-std::string work_core::state::ReserveRack(const ready_unit& aUnit, gang_reservations& aReservations,
-                                          instant aNow)
-{
-  std::vector<worker_entry*> usable = UsableWorkers(aUnit, aNow);
-  if (WaitsForLocality(aUnit, usable, aNow)) {
-    std::erase_if(usable,
-                  [&](const worker_entry* aWorker) { return IsRemote(*aWorker, aUnit.Spec()); });
-  }
-  return aReservations.Hold(aUnit, usable, [&](const std::vector<worker_entry*>& aWorkers) {
-    return ExpectedRoomAt(aUnit, aWorkers, LatestUsefulStart(aUnit, aNow), aNow);
-  });
-}
-
 bool work_core::state::PlaceUnit(ready_unit& aUnit, const std::vector<int>& aTasks,
                                  const gang_reservations& aReservations, instant aNow)
 {
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -6,6 +6,7 @@
 #include "queue_order.h"
 #include "run_pace.h"
 #include "run_time_estimates.h"
+#include "wait_record.h"
 #include "worker_presence.h"
 #include "worker_rates.h"
 
@@ -75,11 +76,7 @@
   bool mReady = false;                           ///< all steps that it depends on are done
   std::map<std::string, advised_worker> mAdvice; ///< by worker
   bool mAdvicePending = false;                   ///< a request to the advisor is in flight
-  /// What keeps tasks away from workers that have room, as of mIdleWaitCheckedAt.
-  wait_reason mIdleWait = wait_reason::kNone;
-  instant mIdleWaitCheckedAt;
-  std::string mReservedRack; ///< gang only: the reservation that was logged; empty: none since
-  instant mReservationLoggedAt;
+  wait_record mWait;
   /// Gang only: when its organisation's limit is expected to have room for it, as of
   /// mLimitEstimatedAt; nullopt: not soon enough.
   std::optional<instant> mLimitRoomAt;
@@ -422,13 +419,16 @@
   /// When the organisation's limit is expected to have room for all tasks of the unit, as runs of
   /// the organisation end. Returns nullopt if that is not before aBy, or never.
   std::optional<instant> ExpectedLimitRoomAt(const ready_unit& aUnit, instant aBy, instant aNow);
+  /// Of a gang that has waited long for its organisation's limit: when that is expected to have
+  /// room for it; nullopt if not soon enough to hold other work of the organisation back.
+  std::optional<instant> LimitRoomForGang(const ready_unit& aUnit, instant aNow);
   void RecordLimitWait(ready_unit& aUnit, bool aWaits);
   /// Stops work of the unit's own organisation that is worth less, so that the unit fits below the
   /// organisation's limit.
   void StopOwnWorkForLimit(const ready_unit& aUnit, instant aNow);
   bool IsBeyondRate(const job_entry& aJob, instant aObjective, instant aNow);
 
-  // work_expected_room.cpp
+  // work_reservations.cpp
   /// Capacity is not kept free for a unit that starts later than this.
   static instant LatestUsefulStart(const ready_unit& aUnit, instant aNow);
   /// When the run is expected to free its capacity; nullopt for one that only ends when stopped.
@@ -438,6 +438,8 @@
   std::optional<instant> ExpectedRoomAt(const ready_unit& aUnit,
                                         const std::vector<worker_entry*>& aWorkers, instant aBy,
                                         instant aNow);
+  /// Returns the rack that is reserved for the gang; empty if there is none.
+  std::string ReserveRack(const ready_unit& aUnit, gang_reservations& aReservations, instant aNow);
 
   // work_idle_waits.cpp
   /// Records what keeps the unit's tasks away from workers that have room for them.
@@ -470,7 +472,6 @@
   /// Why the worker may not run the unit's step, the advisor's approval aside; kNone if it may.
   wait_reason Ineligibility(const worker_entry& aWorker, const ready_unit& aUnit,
                             instant aNow) const;
-  /// Whether the worker may run the unit's step, the advisor's approval aside.
   bool IsEligible(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
   bool IsUsable(const worker_entry& aWorker, const ready_unit& aUnit, instant aNow) const;
   /// Whether any worker has enough free capacity for a task.
@@ -482,8 +483,6 @@
   /// @param aWorkers the workers that the unit may use
   bool WaitsForLocality(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers,
                         instant aNow) const;
-  /// Returns the rack that is reserved for the gang; empty if there is none.
-  std::string ReserveRack(const ready_unit& aUnit, gang_reservations& aReservations, instant aNow);
   void AddRuns(const ready_unit& aUnit, const std::vector<std::pair<int, worker_entry*>>& aPlaces,
                instant aNow);
   void ConvertClaims(ready_unit& aUnit, instant aNow);
