--- a/src/libwork/work_limits.cpp
+++ b/src/libwork/work_limits.cpp
@@ -44,7 +44,7 @@
   const auto [place, isNew] = aWorker.mRuns.emplace(aId, std::move(aRun));
   if (isNew) {
     aWorker.mUsed += demand;
-    aWorker.mUsedForGood += place->second.mLongRunning ? demand : task_demand{};
+    aWorker.mUsedByLongRunning += place->second.mLongRunning ? demand : task_demand{};
     SetKind(aWorker, place->second, aJob, aId.mTask.mStep);
     mLedger.AddRun(place->second.mOrganisation, place->second.mLimitedDemand);
   }
--- a/src/libwork/work_placement.cpp
+++ b/src/libwork/work_placement.cpp
@@ -297,8 +297,8 @@
 {
   const work_step& spec = aUnit.Spec();
   const int most = spec.mPerWorkerLimit > 0 ? spec.mPerWorkerLimit : spec.mCount;
-  return std::min(FitCount(aWorker.mInfo.mCapacity - aWorker.mUsedForGood, CapacityDemand(spec)),
-                  most);
+  return std::min(
+    FitCount(aWorker.mInfo.mCapacity - aWorker.mUsedByLongRunning, CapacityDemand(spec)), most);
 }
 
 bool CanEverFit(const ready_unit& aUnit, const std::vector<worker_entry*>& aWorkers, int aTasks)
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -25,7 +25,8 @@
   const auto found = aWorker.mRuns.find(aRun);
   if (found != aWorker.mRuns.end()) {
     aWorker.mUsed -= found->second.mDemand;
-    aWorker.mUsedForGood -= found->second.mLongRunning ? found->second.mDemand : task_demand{};
+    aWorker.mUsedByLongRunning -=
+      found->second.mLongRunning ? found->second.mDemand : task_demand{};
     RemoveKind(aWorker, found->second);
     mLedger.RemoveRun(found->second.mOrganisation, found->second.mLimitedDemand);
     aWorker.mRuns.erase(found);
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -195,10 +195,10 @@
   instant mReportRequestedAt; ///< when the poll that the newest report answers was sent
   instant mLeasesExpireAt;    ///< no run ordered so far can still be running after this time
   std::map<run_id, run_entry> mRuns;
-  std::set<run_id> mOrphans; ///< runs in the worker's report that this leader has no record of
-  task_demand mUsed;         ///< by all runs
-  task_demand mUsedForGood;  ///< by long-running runs, which end only when they are stopped
-  task_demand mClaimed;      ///< by tasks in kClaimed
+  std::set<run_id> mOrphans;      ///< runs in the worker's report that this leader has no record of
+  task_demand mUsed;              ///< by all runs
+  task_demand mUsedByLongRunning; ///< by long-running runs, which end only when they are stopped
+  task_demand mClaimed;           ///< by tasks in kClaimed
   /// Ends, by number, whose record is not stored yet: the job and the change that contains the end.
   std::map<std::int64_t, std::pair<std::string, std::int64_t>> mPendingEnds;
   std::int64_t mAcknowledged = 0; ///< the worker may drop its records of ends up to this number
