Review: an old acknowledgement makes a restarted worker's task run twice

Cause: the first poll that reaches a new incarnation under the same id carries the acknowledgement of the former one; the new worker forgets the end of a task that it has done, and the task runs again.

--- a/review/standins-3/kit.py
+++ b/review/standins-3/kit.py
@@ -30,9 +30,16 @@
     "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120,
     "checkpoint_s": 2, "restore_ms": 100, "require_fencing": True, "lease_ms": 3000,
 }
+# Where the sheet of zwd-meter-grown differs, of the bounds above and of the machines.
+ZWD_BOUNDS = {
+    "contact_ms": 4000, "ack_timeout_ms": 6000, "drain_ms": 3000, "config_apply_ms": 3000,
+    "recovery_s": 15, "max_hold_ms": 6000, "stop_ms": 900, "gang_timeout_ms": 4000,
+    "cancel_ms": 4000, "restore_ms": 600,
+}
 MEMORY_MB = 260
 VALUE_BYTES = 1048576
 HEARTBEAT_S = 1.5
+IDLE_S = 5.0  # minions close connections that are idle for so long
 
 
 class CannotRun(Exception):
@@ -73,27 +80,34 @@
     return first.decode("latin-1").split(), headers, body
 
 
-async def serve(handler, writers=None):
+async def serve(handler, writers=None, idle_s=60.0):
     """Serves on a free port; handler(method, path, query, headers, body) gives (status, object).
 
-    The open connections are kept in `writers`, if given.
+    The open connections are kept in `writers`, if given. One that is idle for `idle_s` is closed.
     """
     writers = set() if writers is None else writers
 
     async def connection(reader, writer):
         writers.add(writer)
         try:
-            while message := await read_message(reader):
+            while message := await asyncio.wait_for(read_message(reader), idle_s):
                 (method, target, _), headers, body = message
+                if writer not in writers:  # went silent, see Minion.power_cycle
+                    await asyncio.sleep(3600)
                 path, _, query = target.partition("?")
                 arguments = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
                 status, answer = await handler(method, path, arguments, headers, body)
+                if writer not in writers:
+                    await asyncio.sleep(3600)
                 text = json.dumps(answer).encode()
                 writer.write(f"HTTP/1.1 {status} x\r\nContent-Type: application/json\r\n"
                              f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
+        except TimeoutError:
+            if writer not in writers:
+                await asyncio.sleep(3600)
         finally:
             writers.discard(writer)
             writer.close()
@@ -267,26 +281,49 @@
         self.labels = labels
         self.capacity = {"cpu": 128000, "mem_mb": 262144, "gpu": 8}
         self.refuses_starts = False  # answers 503 to /run-start, having done nothing
+        self.state = "ready"
+        self.dark = False
+        self._forget()
+        self.leaves_at = 0.0
+        self.gone = False
+        self.writers = set()
+
+    def _forget(self):
+        """A new incarnation holds and knows nothing of before, and its counts start anew."""
         self.began = time.monotonic()
         self.born = int(time.time() * 1000)
         self.token = 0
         self.lease_until = 0
-        self.runs = {}  # (task, attempt) -> [monotonic time of its end, stopping]
+        self.runs = {}  # (task, attempt) -> [time of its end, stopping, time of its start]
         self.ends = []
         self.last_end = 0
         self.highest = {}
         self.ended = asyncio.Event()
+        self.lapsed_ends = set()  # ends since which the lease has lapsed
         self.sequence = 0
-        self.state = "ready"
-        self.leaves_at = 0.0
-        self.gone = False
-        self.writers = set()
+
+    async def power_cycle(self, dark_s):
+        """Loses power and starts again under its id and at its address.
+
+        Connections of before stay silent for good, and so do those opened while it is dark.
+        """
+        self.dark = True
+        self.cluster.record.line(f"minion {self.id}: loses power with "
+                                 f"{[task for task, _ in self.runs]}")
+        self.writers.clear()
+        self._forget()
+        await asyncio.sleep(dark_s)
+        self.writers.clear()
+        self._forget()
+        self.dark = False
+        self.cluster.record.line(f"minion {self.id}: starts again, born {self.born}")
+        self.register()
 
     def clock(self):
         return int((time.monotonic() - self.began) * 1000)
 
     async def start(self):
-        self.server, self.port = await serve(self.handle, self.writers)
+        self.server, self.port = await serve(self.handle, self.writers, IDLE_S)
         self.register()
         asyncio.create_task(self._heartbeats())
         asyncio.create_task(self._work())
@@ -325,13 +362,15 @@
             await asyncio.sleep(HEARTBEAT_S)
             if self.gone:
                 return
-            self.register()
+            if not self.dark:
+                self.register()
 
     async def _work(self):
         while not self.gone:
             await asyncio.sleep(0.02)
+            self._note_lapse()
             now, clock = time.monotonic(), self.clock()
-            for key, (ends, stopping) in list(self.runs.items()):
+            for key, (ends, stopping, _) in list(self.runs.items()):
                 if self.lease_until < clock:
                     self._end(key, "lapsed")
                 elif now >= ends:
@@ -348,6 +387,8 @@
         event.set()
 
     async def handle(self, method, path, arguments, headers, body):
+        if self.dark:
+            await asyncio.sleep(3600)
         if headers.get("x-target-instance", self.id) != self.id:
             return 421, {}
         order = json.loads(body)
@@ -374,7 +415,8 @@
         if order["until_ms"] < clock:
             return 409, {"clock_ms": clock, "reason": "late"}
         self._extend(order["until_ms"])
-        self.runs[key] = [time.monotonic() + self.cluster.work_s(order["task"]), False]
+        now = time.monotonic()
+        self.runs[key] = [now + self.cluster.work_s(order["task"]), False, now]
         self.cluster.on_start(self, order)
         return 200, {"clock_ms": clock}
 
@@ -382,23 +424,33 @@
         task, attempt = order["task"], order["attempt"]
         self.highest[task] = max(self.highest.get(task, 0), attempt)
         if (task, attempt) in self.runs:
-            self.runs[(task, attempt)] = [time.monotonic() + 0.05, True]
+            self.runs[(task, attempt)][:2] = [time.monotonic() + 0.05, True]
         return 200, {"clock_ms": self.clock()}
 
     def _extend(self, until_ms):
         latest = self.clock() + BOUNDS["max_hold_ms"]
         self.lease_until = max(self.lease_until, min(until_ms, latest))
 
+    def _note_lapse(self):
+        if self.lease_until < self.clock():
+            self.lapsed_ends.update(end[0] for end in self.ends)
+
     async def _hold(self, order):
+        self._note_lapse()
         if "until_ms" in order:
             self._extend(order["until_ms"])
+        for number, task, attempt, how, _ in self.ends:
+            if number <= order["acked_through"] and number not in self.lapsed_ends:
+                self.cluster.on_noted(self, task, attempt, how, number, order["acked_through"])
         self.ends = [end for end in self.ends if end[0] > order["acked_through"]]
         if not self.ends and order.get("wait_ms"):
             try:
                 await asyncio.wait_for(self.ended.wait(), min(order["wait_ms"], 2000) / 1000)
             except TimeoutError:
                 pass
-        running = [[task, attempt, "", 50, 0] for task, attempt in self.runs]
+        now = time.monotonic()
+        running = [[task, attempt, "", int(100 * (now - began) / max(ends - began, now - began)), 0]
+                   for (task, attempt), (ends, _, began) in self.runs.items()]
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": running,
                      "finished": self.ends[:500]}
 
@@ -519,6 +571,8 @@
         self.starts = {}  # task -> times of its starts
         self.ends = {}  # task -> how its runs ended
         self.done = {}  # job -> tasks that have ended done
+        self.first_done = {}  # task -> time at which a run of it first ended done
+        self.noted = {}  # task -> time at which acked_through reached an end done of it
         self.work = {}  # job -> seconds of work of each of its tasks
         self.version = 0
 
@@ -534,8 +588,15 @@
         self.ends.setdefault(task, []).append(how)
         if how == "done":
             self.done.setdefault(task.split(".")[0], set()).add(task)
+            self.first_done.setdefault(task, self.record.now())
         self.record.line(f"minion {minion.id}: {task} attempt {attempt} ended {how}")
 
+    def on_noted(self, minion, task, attempt, how, number, acked_through):
+        if how == "done":
+            self.noted.setdefault(task, self.record.now())
+        self.record.line(f"minion {minion.id}: acked_through {acked_through} forgets end {number}, "
+                         f"{task} attempt {attempt} {how}")
+
     def started_tasks(self, job):
         return [task for task in self.starts if task.split(".")[0] == job]
 
@@ -577,7 +638,8 @@
             await asyncio.sleep(0.1)
         else:
             raise CannotRun("the processes did not become ready")
-        await asyncio.sleep(4)  # past contact_ms after the start: all are in touch
+        # All are in touch from then on.
+        await asyncio.sleep(BOUNDS["contact_ms"] / 1000 + 1)
 
     def stop(self):
         for node in self.nodes:
@@ -610,8 +672,9 @@
             "completion_target_ms": 1000}
 
 
-def run_case(case_folder, nodes, minions, body, **options):
+def run_case(case_folder, nodes, minions, body, bounds=None, **options):
     """Runs body(cluster, trouble), which returns the list of what broke the rule, and exits."""
+    BOUNDS.update(bounds or {})
     trouble = os.environ.get("TROUBLE", "1") != "0"
     with tempfile.TemporaryDirectory() as scratch:
 
