--- a/review/standins-3/kit.py
+++ b/review/standins-3/kit.py
@@ -280,7 +280,6 @@
         self.zone = f"z{number % 2 + 1}"
         self.labels = labels
         self.capacity = {"cpu": 128000, "mem_mb": 262144, "gpu": 8}
-        self.refuses_starts = False  # answers 503 to /run-start, having done nothing
         self.state = "ready"
         self.dark = False
         self._forget()
@@ -392,9 +391,6 @@
         if headers.get("x-target-instance", self.id) != self.id:
             return 421, {}
         order = json.loads(body)
-        if path == "/run-start" and self.refuses_starts:
-            self.cluster.record.line(f"minion {self.id}: start {order['task']} answered 503")
-            return 503, {}
         if order.get("fencing_token", 0) < self.token:
             return 409, {"clock_ms": self.clock(), "reason": "fence"}
         self.token = order.get("fencing_token", 0)
