Jobs: the occurrences of a timed job open a bounded number at a time

Cause: all due occurrences became tables in one loop, and again in each new leader; what a job cost followed from what it asked for. Beside it, due times overflowed in nanoseconds, and numbers out of range were read as 0, so that a job far in the future ran at once.

Change: occurrences open in order while fewer than 64 of the job wait for workers and at most 32,000 of its tasks are open; a decision opens 4,096 tasks. Finished occurrences are intervals, in memory and, beyond 1,000, in the record. A new leader opens only what the record names. Numbers of tasks by phase are kept per step, so that passes do not visit each task. An accepted record with more than 1,000 occurrences has its steps under another name, so that a former version, which cannot read intervals, leaves the job alone.

Ruled out: the size of the record; the placement pass (the process ended before its first one).

--- a/src/include/briarwind/time.h
+++ b/src/include/briarwind/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace briarwind {
 
@@ -36,4 +37,11 @@
 /// Wall-clock time, for logs and records only; never for a deadline.
 using wall_time = std::chrono::system_clock::time_point;
 
+/// Wall-clock time that callers choose freely. The nanoseconds of `wall_time` end in the year 2262.
+using calendar_time = std::chrono::sys_time<milliseconds>;
+
+/// aTime + aCount * aInterval, or the latest or earliest time of the type if that is out of range.
+calendar_time SaturatingAdvance(calendar_time aTime, std::int64_t aCount,
+                                milliseconds aInterval) noexcept;
+
 } // namespace briarwind
--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -151,6 +151,7 @@
   kWorkerFlaps,           ///< a worker went away repeatedly within a short time
   kWaitsBesideIdle,       ///< tasks keep waiting although a worker has room for one
   kRackReserved,          ///< a gang that waits for room has a rack reserved, or another one
+  kOccurrencesWait,       ///< due occurrences of a timed job wait until earlier ones have started
 };
 
 /// Name of the event kind in logs and metrics.
@@ -347,6 +348,8 @@
   std::vector<organisation_use> OrganisationUse() const;
   /// As of the last decision pass, by each reason that has occurred in this term.
   std::vector<idle_wait> IdleWaits() const;
+  /// Number of timed jobs with due occurrences that are not open yet, as of the last decision pass.
+  int JobsBehindSchedule() const;
   /// Number of racks that were reserved for gangs in the last decision pass.
   std::size_t ReservedRacks() const;
   /// Number of pairs of kinds of tasks that are known to interfere; bounded.
--- a/src/include/briarwind/work_model.h
+++ b/src/include/briarwind/work_model.h
@@ -106,7 +106,7 @@
   std::string mPayload; ///< passed to the worker with each start
   std::vector<work_step> mSteps;
   int mOccurrences = 0;        ///< how often a timed job runs; 0: untimed, runs once at once
-  wall_time mFirstDue;         ///< due time of occurrence 0 of a timed job
+  calendar_time mFirstDue;     ///< due time of occurrence 0 of a timed job
   milliseconds mInterval{ 0 }; ///< between the due times of a timed job
   wall_time mAccepted;         ///< by the clock of the host that accepted the job
   work_queue mPolicy;          ///< queue policy at acceptance; applies once the queue is removed
--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -40,6 +40,7 @@
   kWorkWaitsForLimit,
   kWorkWaitsBesideIdle,
   kWorkRackReserved,
+  kWorkOccurrencesWait,
   kWorkWorkerSlow,
   kWorkWorkerNotSlow,
   kWorkWorkerFlaps,
@@ -83,7 +84,7 @@
   kPaceOrders,        kHttpBudgetUsed,
   kHttpBudgetTotal,   kLimitWaits,
   kIdleWaits,         kStepsBesideIdle,
-  kReservedRacks,
+  kReservedRacks,     kJobsBehindSchedule,
 };
 
 } // namespace
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -139,6 +139,11 @@
   "A gang that waits for room has the rack in `reason` reserved: work of the same or a lower rank "
   "is not placed there. Logged when a reservation begins or moves to another rack."
 };
+inline constexpr event_kind kWorkOccurrencesWait{
+  6123, log_level::kInfo, "work.occurrences-wait",
+  "Occurrences of a timed job are due and wait until earlier ones of the job have started, as "
+  "`reason` says; all of them run, in order. Logged when the job falls behind its schedule."
+};
 inline constexpr event_kind kWorkWorkerSlow{
   6130, log_level::kInfo, "work.worker-slow",
   "The runs of a worker take longer than other tasks of the same steps; gangs and work that may "
@@ -336,6 +341,10 @@
   metric_type::kGauge, "briarwind_node_reserved_racks", "",
   "Racks that the leader keeps free of other work for gangs that wait for room."
 };
+inline constexpr metric_kind kJobsBehindSchedule{
+  metric_type::kGauge, "briarwind_node_jobs_behind_schedule", "",
+  "Timed jobs with due occurrences that wait for earlier ones of their job, at the leader."
+};
 inline constexpr metric_kind kCallerCalls{ metric_type::kCounter,
                                            "briarwind_node_caller_calls_total", "outcome",
                                            "Calls of callers by outcome." };
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -276,6 +276,7 @@
 {
   mMetrics.Set(kInterferingPairs, static_cast<double>(mCore.InterferingPairs()));
   mMetrics.Set(kReservedRacks, static_cast<double>(mCore.ReservedRacks()));
+  mMetrics.Set(kJobsBehindSchedule, mCore.JobsBehindSchedule());
   for (const idle_wait& each : mCore.IdleWaits()) {
     mMetrics.Set(kStepsBesideIdle, each.mSteps, ToString(each.mReason));
   }
--- a/src/libwork/work_core.cpp
+++ b/src/libwork/work_core.cpp
@@ -136,7 +136,10 @@
   if (aJob.mCancelled) {
     CancelJob(aJob.mJob.mId, aNow);
   }
-  mState->OpenOccurrences(job, aWallNow);
+  // The occurrences of timed jobs are opened a bounded number at a time, by the next decisions.
+  if (job.mSpec.mOccurrences == 0) {
+    mState->OpenOccurrences(job, aWallNow, 1);
+  }
   if (isNew && !job.IsFinished()) {
     mState->FinishJobIfDone(job, aNow);
   }
@@ -285,11 +288,7 @@
   if (!mState->mInTerm) {
     return;
   }
-  for (auto& [id, job] : mState->mJobs) {
-    if (!job.IsFinished() && job.mNextOccurrence < job.mSpec.mOccurrences) {
-      mState->OpenOccurrences(job, aWallNow);
-    }
-  }
+  mState->OpenDueOccurrences(aWallNow);
   mState->HandleTimeouts(aNow);
   if (mState->mReplan || aNow >= mState->mReplanAt) {
     mState->mReplan = false;
@@ -431,10 +430,9 @@
   work_counts counts;
   for (const auto& [id, job] : mState->mJobs) {
     counts.mJobs += job.IsFinished() ? 0 : 1;
-    for (const occurrence_entry& occurrence : job.mOccurrences) {
+    for (const occurrence_entry& occurrence : job.mOccurrences | std::views::values) {
       for (const step_entry& step : occurrence.mSteps) {
-        counts.mWaitingTasks += static_cast<int>(
-          std::ranges::count(step.mTasks, task_phase::kWaiting, &task_entry::mPhase));
+        counts.mWaitingTasks += step.InPhase(task_phase::kWaiting);
       }
     }
   }
@@ -446,6 +444,13 @@
   return counts;
 }
 
+int work_core::JobsBehindSchedule() const
+{
+  return static_cast<int>(std::ranges::count_if(mState->mJobs, [](const auto& aJob) {
+    return !aJob.second.IsFinished() && aJob.second.mIsBehindSchedule;
+  }));
+}
+
 std::size_t work_core::InterferingPairs() const
 {
   return mState->mInterference.KnownPairs();
--- a/src/libwork/work_core_test.cpp
+++ b/src/libwork/work_core_test.cpp
@@ -115,7 +115,7 @@
   {
     work_job job = Job("a", "batch", { Step(1, 1) });
     job.mOccurrences = 3;
-    job.mFirstDue = wall_time(std::chrono::duration_cast<milliseconds>(
+    job.mFirstDue = calendar_time(std::chrono::duration_cast<milliseconds>(
       fleet.Now().time_since_epoch() + milliseconds(1'000)));
     job.mInterval = milliseconds(500);
     fleet.Submit(job, milliseconds(800));
--- a/src/libwork/work_eviction.cpp
+++ b/src/libwork/work_eviction.cpp
@@ -441,7 +441,7 @@
   }
   for (const auto& [index, worker] : best.mPlaces) {
     task_entry& task = aUnit.Entry().mTasks[static_cast<std::size_t>(index)];
-    task.mPhase = task_phase::kClaimed;
+    aUnit.Entry().SetPhase(task, task_phase::kClaimed);
     task.mWorker = worker->mInfo.mId;
     AddClaim(*worker, *aUnit.mJob, aUnit.Spec());
     mReplan = true;
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -2,44 +2,75 @@
 #include "work_table.h"
 
 #include <algorithm>
+#include <numeric>
+#include <ranges>
+#include <utility>
 
 namespace briarwind {
 
 namespace {
 
-occurrence_entry MakeOccurrence(const work_job& aJob, int aNumber)
+// An occurrence opens only while fewer than this many of its job wait for workers: those behind
+// them could not start either, and each costs memory and a part of every placement pass.
+constexpr int kMaxWaitingOccurrences = 64;
+// Tasks of one job's open occurrences together, beyond the first: as many as the whole fleet runs.
+constexpr std::int64_t kMaxOpenTasks = 32'000;
+// Tasks of the occurrences that one decision opens over all jobs; the next ones follow with the
+// next decision.
+constexpr int kMaxTasksOpenedAtOnce = 4'096;
+
+std::int64_t TasksPerOccurrence(const work_job& aJob)
+{
+  return std::accumulate(
+    aJob.mSteps.begin(), aJob.mSteps.end(), std::int64_t{ 0 },
+    [](std::int64_t aSum, const work_step& aStep) { return aSum + aStep.mCount; });
+}
+
+// Whether one more occurrence may be open. The first one always may.
+bool MayOpenMore(const job_entry& aJob, std::int64_t aTasks)
 {
-  occurrence_entry opened;
-  opened.mNumber = aNumber;
-  std::ranges::transform(aJob.mSteps, std::back_inserter(opened.mSteps),
-                         [](const work_step& aStep) {
-                           step_entry step;
-                           step.mTasks.resize(static_cast<std::size_t>(aStep.mCount));
-                           return step;
-                         });
-  return opened;
+  const auto open = static_cast<std::int64_t>(aJob.mOccurrences.size());
+  if (open == 0) {
+    return true;
+  }
+  const auto waiting = std::ranges::count_if(
+    aJob.mOccurrences | std::views::values,
+    [&](const occurrence_entry& aEach) { return aEach.WaitsForWorkers(aJob.mSpec); });
+  return waiting < kMaxWaitingOccurrences && (open + 1) * aTasks <= kMaxOpenTasks;
 }
 
-occurrence_entry* FindOccurrence(job_entry& aJob, int aNumber)
+} // namespace
+
+occurrence_entry::occurrence_entry(const work_job& aJob, int aNumber)
+  : mNumber(aNumber)
 {
-  const auto found = std::ranges::find(aJob.mOccurrences, aNumber, &occurrence_entry::mNumber);
-  return found == aJob.mOccurrences.end() ? nullptr : &*found;
+  mSteps.reserve(aJob.mSteps.size());
+  std::ranges::for_each(aJob.mSteps,
+                        [this](const work_step& aStep) { mSteps.emplace_back(aStep.mCount); });
 }
 
-bool IsFinished(const occurrence_entry& aOccurrence)
+bool occurrence_entry::IsFinished() const
 {
-  return std::ranges::all_of(aOccurrence.mSteps, &step_entry::IsDone);
+  return std::ranges::all_of(mSteps, &step_entry::IsDone);
 }
 
-void MarkDone(step_entry& aStep, std::size_t aTask)
+bool occurrence_entry::WaitsForWorkers(const work_job& aJob) const
 {
-  if (aTask < aStep.mTasks.size() && aStep.mTasks[aTask].mPhase != task_phase::kDone) {
-    aStep.mTasks[aTask].mPhase = task_phase::kDone;
-    ++aStep.mDone;
+  for (std::size_t i = 0; i < mSteps.size(); ++i) {
+    if (mSteps[i].HasTasksToPlace() && ArePredecessorsDone(*this, aJob.mSteps[i])) {
+      return true;
+    }
   }
+  return false;
 }
 
-} // namespace
+bool ArePredecessorsDone(const occurrence_entry& aOccurrence, const work_step& aStep)
+{
+  return std::ranges::all_of(aStep.mAfter, [&](int aBefore) {
+    const auto index = static_cast<std::size_t>(aBefore);
+    return index < aOccurrence.mSteps.size() && aOccurrence.mSteps[index].IsDone();
+  });
+}
 
 job_entry* work_core::state::FindJob(const std::string& aJob)
 {
@@ -50,10 +81,14 @@
 step_entry* work_core::state::FindStep(const task_id& aTask)
 {
   job_entry* job = FindJob(aTask.mJob);
-  occurrence_entry* occurrence = job == nullptr ? nullptr : FindOccurrence(*job, aTask.mOccurrence);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  const auto found = job->mOccurrences.find(aTask.mOccurrence);
   const auto step = static_cast<std::size_t>(aTask.mStep);
-  return occurrence == nullptr || step >= occurrence->mSteps.size() ? nullptr
-                                                                    : &occurrence->mSteps[step];
+  return found == job->mOccurrences.end() || step >= found->second.mSteps.size()
+           ? nullptr
+           : &found->second.mSteps[step];
 }
 
 const work_step* work_core::state::FindSpec(const task_id& aTask)
@@ -76,21 +111,62 @@
   mReplan = true;
 }
 
+occurrence_entry* work_core::state::OpenOccurrence(job_entry& aJob, int aNumber)
+{
+  if (aNumber < 0 || aNumber >= aJob.TotalOccurrences() ||
+      boost::icl::contains(aJob.mFinishedOccurrences, aNumber)) {
+    return nullptr;
+  }
+  return &aJob.mOccurrences.try_emplace(aNumber, aJob.mSpec, aNumber).first->second;
+}
+
 // Occurrences become due by the wall clock alone. The tolerance for early starts covers the error
 // of that clock.
-void work_core::state::OpenOccurrences(job_entry& aJob, wall_time aWallNow)
+int work_core::state::OpenOccurrences(job_entry& aJob, wall_time aWallNow, int aMaxTasks)
 {
-  const int total = std::max(aJob.mSpec.mOccurrences, 1);
-  while (aJob.mNextOccurrence < total && !aJob.IsFinished()) {
-    const bool timed = aJob.mSpec.mOccurrences > 0;
-    if (timed && aJob.mSpec.mFirstDue + aJob.mNextOccurrence * aJob.mSpec.mInterval > aWallNow) {
+  const bool timed = aJob.mSpec.mOccurrences > 0;
+  const auto now = std::chrono::floor<milliseconds>(aWallNow);
+  const std::int64_t tasks = TasksPerOccurrence(aJob.mSpec);
+  int& next = aJob.mNextOccurrence;
+  std::int64_t opened = 0;
+  bool isBehind = false;
+  while (next < aJob.TotalOccurrences() && !aJob.IsFinished()) {
+    if (const auto finished = aJob.mFinishedOccurrences.find(next);
+        finished != aJob.mFinishedOccurrences.end()) {
+      next = boost::icl::last(*finished) + 1;
+      continue;
+    }
+    if (aJob.mOccurrences.contains(next)) {
+      ++next;
+      continue;
+    }
+    const bool due =
+      !timed || SaturatingAdvance(aJob.mSpec.mFirstDue, next, aJob.mSpec.mInterval) <= now;
+    isBehind = due && (opened >= aMaxTasks || !MayOpenMore(aJob, tasks));
+    if (!due || isBehind) {
+      break;
+    }
+    OpenOccurrence(aJob, next++);
+    opened += tasks;
+    mReplan = true;
+  }
+  if (!std::exchange(aJob.mIsBehindSchedule, isBehind) && isBehind) {
+    EmitEvent(work_event_kind::kOccurrencesWait, aJob.mSpec.mId, {}, {},
+              fmt::format("{} are open, the next is {}", aJob.mOccurrences.size(), next));
+  }
+  return static_cast<int>(opened);
+}
+
+void work_core::state::OpenDueOccurrences(wall_time aWallNow)
+{
+  int left = kMaxTasksOpenedAtOnce;
+  for (auto& [id, job] : mJobs) {
+    if (left <= 0) {
       return;
     }
-    if (!aJob.mFinishedOccurrences.contains(aJob.mNextOccurrence)) {
-      aJob.mOccurrences.push_back(MakeOccurrence(aJob.mSpec, aJob.mNextOccurrence));
-      mReplan = true;
+    if (!job.IsFinished() && job.mNextOccurrence < job.TotalOccurrences()) {
+      left -= OpenOccurrences(job, aWallNow, left);
     }
-    ++aJob.mNextOccurrence;
   }
 }
 
@@ -114,30 +190,36 @@
     RestoreStoppingRuns(aJob, record.mStopping, aNow);
     return;
   }
-  aJob.mFinishedOccurrences.insert(record.mFinishedOccurrences.begin(),
-                                   record.mFinishedOccurrences.end());
-  for (int i = 0; i < record.mNextOccurrence; ++i) {
-    if (!aJob.mFinishedOccurrences.contains(i)) {
-      aJob.mOccurrences.push_back(MakeOccurrence(aJob.mSpec, i));
-    }
+  for (const auto& [first, last] : record.mFinishedOccurrences) {
+    aJob.mFinishedOccurrences.add({ first, last });
   }
-  aJob.mNextOccurrence = record.mNextOccurrence;
   RestoreSteps(aJob, record);
   RestoreStoppingRuns(aJob, record.mStopping, aNow);
   RestoreTasks(aJob, record.mTasks, aNow);
 }
 
-void work_core::state::RestoreSteps(const job_entry& aJob, const progress_record& aRecord)
+// Only the occurrences that the record says something about are opened; the others are opened as
+// they become due, like those that never were.
+void work_core::state::RestoreSteps(job_entry& aJob, const progress_record& aRecord)
 {
   for (const progress_done& each : aRecord.mDone) {
+    OpenOccurrence(aJob, each.mOccurrence);
     step_entry* step = FindStep({ aJob.mSpec.mId, each.mOccurrence, each.mStep, 0 });
-    for (std::size_t i = 0; step != nullptr && i < step->mTasks.size(); ++i) {
-      if (each.mTasks.empty() || std::ranges::count(each.mTasks, static_cast<int>(i)) > 0) {
-        MarkDone(*step, i);
+    if (step == nullptr) {
+      continue;
+    }
+    if (each.mTasks.empty()) {
+      std::ranges::for_each(step->mTasks,
+                            [&](task_entry& aTask) { step->SetPhase(aTask, task_phase::kDone); });
+    }
+    for (const int index : each.mTasks) {
+      if (std::cmp_less(index, step->mTasks.size()) && index >= 0) {
+        step->SetPhase(step->mTasks[static_cast<std::size_t>(index)], task_phase::kDone);
       }
     }
   }
   for (const progress_failure& each : aRecord.mFailures) {
+    OpenOccurrence(aJob, each.mOccurrence);
     if (step_entry* step = FindStep({ aJob.mSpec.mId, each.mOccurrence, each.mStep, 0 })) {
       step->mLastFailedRun = each.mRun;
     }
@@ -148,15 +230,17 @@
                                     instant aNow)
 {
   for (const progress_task& each : aTasks) {
+    OpenOccurrence(aJob, each.mTask.mOccurrence);
+    step_entry* step = FindStep(each.mTask);
     task_entry* task = FindTask(each.mTask);
     if (task == nullptr || task->mPhase == task_phase::kDone) {
       continue;
     }
     task->mRun = each.mRun;
-    task->mFailures = each.mFailures;
+    step->SetFailures(*task, each.mFailures);
     task->mCheckpoint = each.mCheckpoint;
     if (!each.mWorker.empty()) {
-      task->mPhase = task_phase::kLive;
+      step->SetPhase(*task, task_phase::kLive);
       task->mWorker = each.mWorker;
       RestoreRun(aJob, { each.mTask, each.mRun }, each.mWorker, aNow);
     }
@@ -247,13 +331,16 @@
 
 void work_core::state::FinishJobIfDone(job_entry& aJob, instant aNow)
 {
-  for (const occurrence_entry& each : aJob.mOccurrences) {
-    if (IsFinished(each)) {
-      aJob.mFinishedOccurrences.insert(each.mNumber);
+  std::erase_if(aJob.mOccurrences, [&](const auto& aEach) {
+    const auto& [number, occurrence] = aEach;
+    if (occurrence.IsFinished()) {
+      aJob.mFinishedOccurrences.add(number);
+      return true;
     }
-  }
-  std::erase_if(aJob.mOccurrences, IsFinished);
-  if (aJob.mOccurrences.empty() && aJob.mNextOccurrence >= std::max(aJob.mSpec.mOccurrences, 1)) {
+    return false;
+  });
+  if (boost::icl::contains(aJob.mFinishedOccurrences,
+                           boost::icl::closed_interval<int>(0, aJob.TotalOccurrences() - 1))) {
     FinishJob(aJob, work_state::kCompleted, {}, aNow);
   }
 }
--- a/src/libwork/work_record.cpp
+++ b/src/libwork/work_record.cpp
@@ -5,7 +5,9 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <ranges>
+#include <utility>
 
 namespace briarwind {
 
@@ -51,6 +53,32 @@
   return row;
 }
 
+// The former version reads single numbers only. It cannot read the accepted record of a job with
+// more occurrences than this, see FormatWorkJob, and so never meets the intervals.
+constexpr std::size_t kMaxListedOccurrences = 1'000;
+
+// Adds the finished occurrences, as single numbers or as intervals.
+void AddFinished(json::object& aRecord, const occurrence_set& aFinished)
+{
+  if (aFinished.empty()) {
+    return;
+  }
+  json::array list;
+  if (boost::icl::cardinality(aFinished) <= kMaxListedOccurrences) {
+    for (const auto& each : aFinished) {
+      for (int number = boost::icl::first(each); number <= boost::icl::last(each); ++number) {
+        list.emplace_back(number);
+      }
+    }
+    aRecord["over"] = std::move(list);
+    return;
+  }
+  for (const auto& each : aFinished) {
+    list.emplace_back(json::array{ boost::icl::first(each), boost::icl::last(each) });
+  }
+  aRecord["over_from_to"] = std::move(list);
+}
+
 json::array FailureRow(int aOccurrence, int aStep, const step_entry& aEntry)
 {
   return { aOccurrence, aStep, aEntry.mLastFailedRun };
@@ -99,6 +127,27 @@
   return { static_cast<int>(IntAt(aRow, 0)), static_cast<int>(IntAt(aRow, 1)), IntAt(aRow, 2) };
 }
 
+std::optional<int> ReadOccurrence(const json::value& aValue)
+{
+  const auto number = WholeNumber(aValue);
+  return number && std::in_range<int>(*number) && *number >= 0
+           ? std::optional(static_cast<int>(*number))
+           : std::nullopt;
+}
+
+// For the former version, which opens all occurrences before this one that are not finished.
+int NextOccurrence(const job_entry& aJob)
+{
+  int next = aJob.mNextOccurrence;
+  if (!aJob.mOccurrences.empty()) {
+    next = std::max(next, aJob.mOccurrences.rbegin()->first + 1);
+  }
+  if (!aJob.mFinishedOccurrences.empty()) {
+    next = std::max(next, boost::icl::last(*aJob.mFinishedOccurrences.rbegin()) + 1);
+  }
+  return next;
+}
+
 } // namespace
 
 std::string FormatProgress(const job_entry& aJob, std::int64_t aEpoch)
@@ -107,29 +156,29 @@
   json::array tasks;
   json::array failures;
   if (!aJob.IsFinished()) {
-    for (const occurrence_entry& occurrence : aJob.mOccurrences) {
+    for (const auto& [number, occurrence] : aJob.mOccurrences) {
       for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
         const step_entry& entry = occurrence.mSteps[step];
-        const int number = static_cast<int>(step);
-        if (entry.mDone > 0) {
-          done.emplace_back(DoneRow(occurrence.mNumber, number, entry));
+        const int index = static_cast<int>(step);
+        if (entry.DoneTasks() > 0) {
+          done.emplace_back(DoneRow(number, index, entry));
         }
         if (entry.mLastFailedRun > 0 && !entry.IsDone()) {
-          failures.emplace_back(FailureRow(occurrence.mNumber, number, entry));
+          failures.emplace_back(FailureRow(number, index, entry));
         }
         for (std::size_t i = 0; i < entry.mTasks.size(); ++i) {
           const task_entry& task = entry.mTasks[i];
           if (task.mPhase == task_phase::kDone || IsUntouched(task)) {
             continue;
           }
-          const task_id id{ aJob.mSpec.mId, occurrence.mNumber, number, static_cast<int>(i) };
+          const task_id id{ aJob.mSpec.mId, number, index, static_cast<int>(i) };
           tasks.emplace_back(TaskRow(id, task));
         }
       }
     }
   }
   json::object record{ { "state", ToString(aJob.mState) }, { "epoch", aEpoch },
-                       { "change", aJob.mChange },         { "next", aJob.mNextOccurrence },
+                       { "change", aJob.mChange },         { "next", NextOccurrence(aJob) },
                        { "done", std::move(done) },        { "tasks", std::move(tasks) } };
   if (!failures.empty()) {
     record["failed"] = std::move(failures);
@@ -144,10 +193,7 @@
   if (!aJob.mReason.empty()) {
     record["reason"] = aJob.mReason;
   }
-  if (!aJob.mFinishedOccurrences.empty()) {
-    record["over"] =
-      json::array(aJob.mFinishedOccurrences.begin(), aJob.mFinishedOccurrences.end());
-  }
+  AddFinished(record, aJob.mFinishedOccurrences);
   return json::serialize(record);
 }
 
@@ -157,9 +203,19 @@
   progress_record record;
   record.mState = ParseStateOrQueued(TextField(object, "state"));
   record.mReason = TextField(object, "reason");
-  record.mNextOccurrence = static_cast<int>(NumberField(object, "next"));
   for (const json::value& each : ArrayField(object, "over")) {
-    record.mFinishedOccurrences.push_back(static_cast<int>(each.is_int64() ? each.get_int64() : 0));
+    if (const auto number = ReadOccurrence(each)) {
+      record.mFinishedOccurrences.emplace_back(*number, *number);
+    }
+  }
+  for (const json::value& each : ArrayField(object, "over_from_to")) {
+    if (each.is_array() && each.get_array().size() == 2) {
+      const auto first = ReadOccurrence(each.get_array()[0]);
+      const auto last = ReadOccurrence(each.get_array()[1]);
+      if (first && last && *first <= *last) {
+        record.mFinishedOccurrences.emplace_back(*first, *last);
+      }
+    }
   }
   for (const json::value& each : ArrayField(object, "done")) {
     if (each.is_array()) {
@@ -194,6 +250,15 @@
 
 namespace {
 
+// Declared times are rough. Longer ones are taken as this one, so that sums over a job's steps stay
+// far within the range of an instant.
+constexpr milliseconds kMaxDeclaredTime = std::chrono::days(3'660);
+
+milliseconds ReadDeclaredTime(const json::object& aObject, std::string_view aName)
+{
+  return std::clamp(milliseconds(NumberField(aObject, aName)), milliseconds(0), kMaxDeclaredTime);
+}
+
 json::object StepObject(const work_step& aStep)
 {
   json::object object{ { "count", aStep.mCount },
@@ -241,7 +306,7 @@
   step.mCount = static_cast<int>(NumberField(aObject, "count", 1));
   step.mDemand = { static_cast<int>(NumberField(aObject, "accelerators")),
                    NumberField(aObject, "milli_cores"), NumberField(aObject, "memory_mb") };
-  step.mEstimate = milliseconds(NumberField(aObject, "estimate_ms"));
+  step.mEstimate = ReadDeclaredTime(aObject, "estimate_ms");
   std::ranges::transform(
     ArrayField(aObject, "after"), std::back_inserter(step.mAfter),
     [](const json::value& aValue) { return static_cast<int>(WholeNumber(aValue).value_or(-1)); });
@@ -255,7 +320,7 @@
   step.mPerWorkerLimit = static_cast<int>(NumberField(aObject, "per_worker"));
   step.mMaxUnavailable = static_cast<int>(NumberField(aObject, "may_miss"));
   step.mImage = TextField(aObject, "image");
-  step.mLatencyTarget = milliseconds(NumberField(aObject, "latency_target_ms"));
+  step.mLatencyTarget = ReadDeclaredTime(aObject, "latency_target_ms");
   return step;
 }
 
@@ -284,6 +349,16 @@
   return std::chrono::duration_cast<milliseconds>(aTime.time_since_epoch()).count();
 }
 
+// Whether the former version could read the job's progress records, whatever its course.
+bool IsReadableByFormerVersion(const work_job& aJob)
+{
+  return aJob.mOccurrences <= static_cast<int>(kMaxListedOccurrences);
+}
+
+// Holds the steps of a job that the former version must leave alone. It passes over accepted
+// records without "steps": as leader it neither runs such a job nor deletes its records.
+constexpr std::string_view kWideSteps = "wide_steps";
+
 } // namespace
 
 std::string FormatWorkJob(const work_job& aJob)
@@ -295,11 +370,11 @@
                        { "organisation", aJob.mOrganisation },
                        { "payload", aJob.mPayload },
                        { "accepted_ms", ToMilliseconds(aJob.mAccepted) },
-                       { "policy", PolicyObject(aJob.mPolicy) },
-                       { "steps", std::move(steps) } };
+                       { "policy", PolicyObject(aJob.mPolicy) } };
+  object[IsReadableByFormerVersion(aJob) ? "steps" : kWideSteps] = std::move(steps);
   if (aJob.mOccurrences > 0) {
     object["occurrences"] = aJob.mOccurrences;
-    object["first_due_ms"] = ToMilliseconds(aJob.mFirstDue);
+    object["first_due_ms"] = aJob.mFirstDue.time_since_epoch().count();
     object["interval_ms"] = aJob.mInterval.count();
   }
   return json::serialize(object);
@@ -315,10 +390,11 @@
   job.mPayload = TextField(object, "payload");
   job.mAccepted = wall_time(milliseconds(NumberField(object, "accepted_ms")));
   job.mPolicy = ReadPolicy(ObjectField(object, "policy"));
-  job.mOccurrences = static_cast<int>(NumberField(object, "occurrences"));
-  job.mFirstDue = wall_time(milliseconds(NumberField(object, "first_due_ms")));
-  job.mInterval = milliseconds(NumberField(object, "interval_ms"));
-  for (const json::value& each : ArrayField(object, "steps")) {
+  job.mOccurrences = IntField(object, "occurrences");
+  job.mFirstDue = calendar_time(milliseconds(NumberField(object, "first_due_ms")));
+  job.mInterval = milliseconds(std::max<std::int64_t>(NumberField(object, "interval_ms"), 0));
+  for (const json::value& each :
+       ArrayField(object, object.contains(kWideSteps) ? kWideSteps : "steps")) {
     if (!each.is_object()) {
       return MakeError(error_kind::kInvalid, "job",
                        fmt::format("a step of job \"{}\" is not a JSON object", job.mId));
--- a/src/libwork/work_record.h
+++ b/src/libwork/work_record.h
@@ -6,7 +6,7 @@
 
 /// JSON of a job's progress record: state, tasks that are done, live runs with their workers, run
 /// numbers, failures and checkpoints of waiting tasks that were started before, the last failed run
-/// of each gang, and the runs of a finished job that were being stopped.
+/// of each gang, the finished occurrences, and the runs of a finished job that were being stopped.
 std::string FormatProgress(const job_entry& aJob, std::int64_t aEpoch);
 
 /// Row of a task that was started at least once and is not done.
@@ -40,8 +40,7 @@
 {
   work_state mState = work_state::kQueued;
   std::string mReason;
-  int mNextOccurrence = 0;
-  std::vector<int> mFinishedOccurrences;
+  std::vector<std::pair<int, int>> mFinishedOccurrences; ///< first and last of each interval
   std::vector<progress_done> mDone;
   std::vector<progress_task> mTasks;
   std::vector<progress_failure> mFailures; ///< empty in records of former versions
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -95,23 +95,24 @@
 void work_core::state::RequeueTask(const run_id& aRun, const std::string& aCheckpoint, instant aNow)
 {
   job_entry* job = FindJob(aRun.mTask.mJob);
+  step_entry* step = FindStep(aRun.mTask);
   task_entry* task = FindTask(aRun.mTask);
   if (job == nullptr || task == nullptr || job->IsFinished()) {
     return;
   }
-  task->mPhase = task_phase::kWaiting;
+  step->SetPhase(*task, task_phase::kWaiting);
   task->mWorker.clear();
   if (!aCheckpoint.empty()) {
     task->mCheckpoint = aCheckpoint;
     const work_step& spec = job->mSpec.mSteps[static_cast<std::size_t>(aRun.mTask.mStep)];
     if (spec.mGang) {
       // A checkpoint of any member is valid for all, and all have to start from the same one.
-      for (task_entry& each : FindStep(aRun.mTask)->mTasks) {
+      for (task_entry& each : step->mTasks) {
         each.mCheckpoint = aCheckpoint;
       }
     }
   }
-  FindStep(aRun.mTask)->mReadySince = aNow;
+  step->mReadySince = aNow;
   MarkChanged(*job);
 }
 
@@ -123,12 +124,11 @@
     return;
   }
   const bool gang = job->mSpec.mSteps[static_cast<std::size_t>(aTask.mStep)].mGang;
-  for (std::size_t i = 0; i < step->mTasks.size(); ++i) {
-    task_entry& task = step->mTasks[i];
-    if ((gang || static_cast<int>(i) == aTask.mIndex) && task.mPhase != task_phase::kDone) {
-      task.mPhase = task_phase::kDone;
-      ++step->mDone;
-    }
+  if (gang) {
+    std::ranges::for_each(step->mTasks,
+                          [&](task_entry& aEach) { step->SetPhase(aEach, task_phase::kDone); });
+  } else if (task_entry* task = FindTask(aTask)) {
+    step->SetPhase(*task, task_phase::kDone);
   }
   if (gang) {
     RecordStoppingRuns(*job);
@@ -154,7 +154,7 @@
   // The failure of a gang counts once, whichever of its members report it, and whichever leader
   // reads the report.
   const bool isCounted = spec.mGang && std::exchange(step->mLastFailedRun, aRun.mRun) == aRun.mRun;
-  task->mFailures += isCounted ? 0 : 1;
+  step->SetFailures(*task, task->mFailures + (isCounted ? 0 : 1));
   const int failures = spec.mGang ? step->FailedGangRuns() : task->mFailures;
   const auto queue = mSettings.mQueues.find(job->mSpec.mQueue);
   const int attempts =
@@ -213,13 +213,12 @@
 void work_core::state::StopJobRuns(job_entry& aJob, std::string_view aReason, instant aNow)
 {
   std::vector<std::pair<std::string, run_id>> live;
-  for (const occurrence_entry& occurrence : aJob.mOccurrences) {
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
     for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
       const step_entry& entry = occurrence.mSteps[step];
       for (std::size_t i = 0; i < entry.mTasks.size(); ++i) {
         if (entry.mTasks[i].mPhase == task_phase::kLive) {
-          const task_id task{ aJob.mSpec.mId, occurrence.mNumber, static_cast<int>(step),
-                              static_cast<int>(i) };
+          const task_id task{ aJob.mSpec.mId, number, static_cast<int>(step), static_cast<int>(i) };
           live.emplace_back(entry.mTasks[i].mWorker, run_id{ task, entry.mTasks[i].mRun });
         }
       }
@@ -249,7 +248,7 @@
 void work_core::state::SendRecordedStarts(job_entry& aJob, instant aNow)
 {
   std::vector<std::pair<std::string, run_id>> unusable;
-  for (occurrence_entry& occurrence : aJob.mOccurrences) {
+  for (auto& [number, occurrence] : aJob.mOccurrences) {
     for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
       const work_step& spec = aJob.mSpec.mSteps[step];
       step_entry& entry = occurrence.mSteps[step];
@@ -259,8 +258,7 @@
         if (task.mPhase != task_phase::kLive || worker == mWorkers.end()) {
           continue;
         }
-        const run_id id{ { aJob.mSpec.mId, occurrence.mNumber, static_cast<int>(step),
-                           static_cast<int>(i) },
+        const run_id id{ { aJob.mSpec.mId, number, static_cast<int>(step), static_cast<int>(i) },
                          task.mRun };
         const auto run = worker->second.mRuns.find(id);
         if (run == worker->second.mRuns.end() || run->second.mPhase != run_phase::kRecording ||
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -19,6 +19,9 @@
 constexpr int kOverdueFactor = 3;
 // A worker that completed a run within this time is unlikely to fail all its runs.
 constexpr milliseconds kRecentSuccess{ 3'000 };
+// Longer chains of steps count as this one, so that multiples of it stay within the range of an
+// instant.
+constexpr milliseconds kMaxCriticalPath = std::chrono::days(3'660);
 // A run that has less than this many times its expected time left may miss its objective on a slow
 // worker: tasks of one step differ by 30%, and slow workers take 1.25 times as long.
 constexpr double kNearObjectiveFactor = 1.5;
@@ -29,27 +32,6 @@
   return found == aSettings.mQueues.end() ? aJob.mSpec.mPolicy : found->second;
 }
 
-bool ArePredecessorsDone(const occurrence_entry& aOccurrence, const work_step& aStep)
-{
-  return std::ranges::all_of(aStep.mAfter, [&](int aBefore) {
-    const auto index = static_cast<std::size_t>(aBefore);
-    return index < aOccurrence.mSteps.size() && aOccurrence.mSteps[index].IsDone();
-  });
-}
-
-bool HasTasksToPlace(const step_entry& aStep)
-{
-  return std::ranges::any_of(aStep.mTasks, [](const task_entry& aTask) {
-    return aTask.mPhase == task_phase::kWaiting || aTask.mPhase == task_phase::kClaimed;
-  });
-}
-
-bool HasFailed(const step_entry& aStep)
-{
-  return std::ranges::any_of(aStep.mTasks,
-                             [](const task_entry& aTask) { return aTask.mFailures > 0; });
-}
-
 int TotalAccelerators(const work_job& aJob)
 {
   int sum = 0;
@@ -83,7 +65,7 @@
   return learned.value_or(aStep.mEstimate);
 }
 
-// Time of the longest chain of dependent steps.
+// Time of the longest chain of dependent steps, at most kMaxCriticalPath.
 milliseconds work_core::state::CriticalPath(const work_job& aJob) const
 {
   std::vector<milliseconds> until;
@@ -94,7 +76,7 @@
         before = std::max(before, until[static_cast<std::size_t>(each)]);
       }
     }
-    until.push_back(before + ExpectedRunTime(aJob, step));
+    until.push_back(std::min(before + ExpectedRunTime(aJob, step), kMaxCriticalPath));
   }
   return until.empty() ? milliseconds{ 0 } : std::ranges::max(until);
 }
@@ -102,9 +84,11 @@
 instant work_core::state::ObjectiveOf(const job_entry& aJob) const
 {
   const work_queue& queue = QueueOf(mSettings, aJob);
+  const std::chrono::duration<double, std::milli> slack = queue.mSlack * CriticalPath(aJob.mSpec);
   return aJob.mAddedAt +
-         std::chrono::duration_cast<milliseconds>(queue.mSlack * CriticalPath(aJob.mSpec)) +
-         queue.mTarget;
+         std::chrono::duration_cast<milliseconds>(
+           std::min<std::chrono::duration<double, std::milli>>(slack, kMaxCriticalPath)) +
+         std::min(queue.mTarget, kMaxCriticalPath);
 }
 
 // A run away from its data takes several times as long, which says nothing about other runs.
@@ -131,7 +115,7 @@
     }
     const work_queue& queue = QueueOf(mSettings, job);
     const instant objective = ObjectiveOf(job);
-    for (occurrence_entry& occurrence : job.mOccurrences) {
+    for (occurrence_entry& occurrence : job.mOccurrences | std::views::values) {
       for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
         step_entry& entry = occurrence.mSteps[step];
         if (entry.IsDone() || !ArePredecessorsDone(occurrence, job.mSpec.mSteps[step])) {
@@ -140,7 +124,7 @@
         if (!std::exchange(entry.mReady, true)) {
           entry.mReadySince = aNow;
         }
-        if (HasTasksToPlace(entry)) {
+        if (entry.HasTasksToPlace()) {
           const bool overdue = aNow > job.mAddedAt + kOverdueFactor * (objective - job.mAddedAt);
           const bool mayProbe =
             !job.mSpec.mSteps[step].mGang || aNow - entry.mReadySince >= mOptions.mGangProbeDelay;
@@ -150,7 +134,7 @@
           unit.mStep = static_cast<int>(step);
           unit.mQueue = &queue;
           unit.mMayProbe = mayProbe;
-          unit.mPreferSuccessSince = HasFailed(entry) ? aNow - kRecentSuccess : instant();
+          unit.mPreferSuccessSince = entry.mFailedTasks > 0 ? aNow - kRecentSuccess : instant();
           unit.mObjective = objective;
           unit.mInterfering = InterferingKinds(job.mSpec, unit.mStep);
           unit.mFitsShape = mOptions.mParts.mShapeFit;
@@ -172,7 +156,8 @@
   std::ranges::sort(units, [](const ready_unit& aLeft, const ready_unit& aRight) {
     const auto key = [](const ready_unit& aUnit) {
       return std::tuple(aUnit.mRank, aUnit.mIsLate, aUnit.mObjective,
-                        std::string_view(aUnit.mJob->mSpec.mId), aUnit.mStep);
+                        std::string_view(aUnit.mJob->mSpec.mId), aUnit.mOccurrence->mNumber,
+                        aUnit.mStep);
     };
     return key(aLeft) < key(aRight);
   });
@@ -397,7 +382,7 @@
   aUnit.mJob->mState = work_state::kRunning;
   for (const auto& [index, worker] : aPlaces) {
     task_entry& task = step.mTasks[static_cast<std::size_t>(index)];
-    task.mPhase = task_phase::kLive;
+    step.SetPhase(task, task_phase::kLive);
     task.mRun = spec.mGang ? commonRun : task.mRun + 1;
     task.mWorker = worker->mInfo.mId;
     run_entry run;
@@ -423,6 +408,9 @@
   std::map<const worker_entry*, task_demand> plannedUse;
   std::size_t claimed = 0;
   bool unusable = false;
+  if (step.InPhase(task_phase::kClaimed) == 0) {
+    return;
+  }
   for (std::size_t i = 0; i < step.mTasks.size(); ++i) {
     const task_entry& task = step.mTasks[i];
     if (task.mPhase != task_phase::kClaimed) {
@@ -440,9 +428,6 @@
       ready.emplace_back(static_cast<int>(i), &worker->second);
     }
   }
-  if (claimed == 0) {
-    return;
-  }
   // A limit that was lowered after the claim is kept, too.
   if (unusable || mLedger.IsOverLimit(aUnit.mJob->mSpec.mOrganisation)) {
     ReleaseClaims(*aUnit.mJob);
@@ -459,16 +444,20 @@
 
 void work_core::state::ReleaseClaims(job_entry& aJob)
 {
-  for (occurrence_entry& occurrence : aJob.mOccurrences) {
+  for (occurrence_entry& occurrence : aJob.mOccurrences | std::views::values) {
     for (std::size_t i = 0; i < occurrence.mSteps.size(); ++i) {
-      for (task_entry& task : occurrence.mSteps[i].mTasks) {
+      step_entry& step = occurrence.mSteps[i];
+      if (step.InPhase(task_phase::kClaimed) == 0) {
+        continue;
+      }
+      for (task_entry& task : step.mTasks) {
         if (task.mPhase != task_phase::kClaimed) {
           continue;
         }
         if (const auto worker = mWorkers.find(task.mWorker); worker != mWorkers.end()) {
           RemoveClaim(worker->second, aJob, aJob.mSpec.mSteps[i]);
         }
-        task.mPhase = task_phase::kWaiting;
+        step.SetPhase(task, task_phase::kWaiting);
         task.mWorker.clear();
         mReplan = true;
       }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -12,10 +12,11 @@
 
 #include "briarwind/work_core.h"
 
+#include <boost/icl/interval_set.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <list>
+#include <array>
 #include <map>
 #include <numeric>
 #include <optional>
@@ -44,6 +45,7 @@
   kLive,    ///< has a run: ordered, running, or of unknown state
   kDone,
 };
+inline constexpr std::size_t kTaskPhases = 4;
 
 struct task_entry
 {
@@ -67,8 +69,16 @@
 
 struct step_entry
 {
+  explicit step_entry(int aTasks)
+    : mTasks(static_cast<std::size_t>(aTasks))
+    , mInPhase{ aTasks }
+  {
+  }
+
   std::vector<task_entry> mTasks;
-  int mDone = 0;                 ///< tasks that are done
+  /// Number of tasks by phase. Steps are wide, so passes over all of them must not visit each task.
+  std::array<int, kTaskPhases> mInPhase{};
+  int mFailedTasks = 0;          ///< tasks with a failed run
   run_number mLastFailedRun = 0; ///< gang only: the run that was last counted as failed
   instant mReadySince;           ///< since when the step is ready or has a task queued again
   /// Time per percent of the task that progressed last, near its data; nullopt: not measured yet.
@@ -82,7 +92,25 @@
   std::optional<instant> mLimitRoomAt;
   instant mLimitEstimatedAt;
 
-  bool IsDone() const { return mDone == static_cast<int>(mTasks.size()); }
+  int InPhase(task_phase aPhase) const { return mInPhase.at(static_cast<std::size_t>(aPhase)); }
+  int DoneTasks() const { return InPhase(task_phase::kDone); }
+  bool IsDone() const { return DoneTasks() == static_cast<int>(mTasks.size()); }
+  bool HasTasksToPlace() const
+  {
+    return InPhase(task_phase::kWaiting) + InPhase(task_phase::kClaimed) > 0;
+  }
+  /// Phases of the step's tasks are set by this alone.
+  void SetPhase(task_entry& aTask, task_phase aPhase)
+  {
+    --mInPhase.at(static_cast<std::size_t>(aTask.mPhase));
+    ++mInPhase.at(static_cast<std::size_t>(aPhase));
+    aTask.mPhase = aPhase;
+  }
+  void SetFailures(task_entry& aTask, int aFailures)
+  {
+    mFailedTasks += static_cast<int>(aFailures > 0) - static_cast<int>(aTask.mFailures > 0);
+    aTask.mFailures = aFailures;
+  }
   /// Failed runs of a gang, each counted once.
   int FailedGangRuns() const
   {
@@ -93,10 +121,21 @@
 
 struct occurrence_entry
 {
+  occurrence_entry(const work_job& aJob, int aNumber);
+
   int mNumber = 0;
   std::vector<step_entry> mSteps;
+
+  bool IsFinished() const;
+  /// Whether a task waits for a worker, all steps that its step depends on being done.
+  bool WaitsForWorkers(const work_job& aJob) const;
 };
 
+bool ArePredecessorsDone(const occurrence_entry& aOccurrence, const work_step& aStep);
+
+/// Numbers of occurrences. They finish nearly in order, so that few intervals hold any number.
+using occurrence_set = boost::icl::interval_set<int, std::less, boost::icl::closed_interval<int>>;
+
 struct job_entry
 {
   work_job mSpec;
@@ -111,9 +150,10 @@
   std::vector<std::pair<run_id, std::string>> mStoppingRuns;
   int mEvictions = 0;          ///< how often runs of the job were stopped for other jobs
   bool mWaitsForLimit = false; ///< its organisation's limit held tasks back in the last pass
-  std::list<occurrence_entry> mOccurrences; ///< those that are due and not finished
-  int mNextOccurrence = 0;                  ///< the first that is not due yet
-  std::set<int> mFinishedOccurrences;
+  std::map<int, occurrence_entry> mOccurrences; ///< those that are open, by number
+  int mNextOccurrence = 0; ///< all before it are open or finished; some after it may be, too
+  occurrence_set mFinishedOccurrences;
+  bool mIsBehindSchedule = false; ///< due occurrences were not opened in the last pass
 
   store_revision mAcceptedRevision = 0; ///< of the accepted record
   store_revision mRevision = 0;         ///< of the stored progress record
@@ -122,6 +162,7 @@
   std::int64_t mChangeStored = 0;       ///< last change that is stored
 
   bool IsFinished() const { return IsFinal(mState); }
+  int TotalOccurrences() const { return std::max(mSpec.mOccurrences, 1); }
   bool NeedsWrite() const { return mChange > mChangeStored && mChangeWriting == 0; }
 };
 
@@ -306,12 +347,18 @@
   // work_jobs.cpp
   void RestoreJob(job_entry& aJob, const stored_job& aStored, instant aNow);
   void RestoreRun(job_entry& aJob, const run_id& aRun, const std::string& aWorker, instant aNow);
-  void RestoreSteps(const job_entry& aJob, const progress_record& aRecord);
+  void RestoreSteps(job_entry& aJob, const progress_record& aRecord);
   void RestoreTasks(job_entry& aJob, const std::vector<progress_task>& aTasks, instant aNow);
   void RestoreStoppingRuns(job_entry& aJob, const std::vector<progress_task>& aStopping,
                            instant aNow);
   void RecordStoppingRuns(job_entry& aJob);
-  void OpenOccurrences(job_entry& aJob, wall_time aWallNow);
+  /// Opens the occurrences that are due, in order, as far as the job may have more of them open.
+  /// @param aMaxTasks stops once the opened occurrences have this many tasks
+  /// @return tasks of the occurrences that were opened
+  int OpenOccurrences(job_entry& aJob, wall_time aWallNow, int aMaxTasks);
+  void OpenDueOccurrences(wall_time aWallNow);
+  /// Returns null for a number that the job does not have, or that is finished.
+  occurrence_entry* OpenOccurrence(job_entry& aJob, int aNumber);
   void MarkChanged(job_entry& aJob);
   void FinishJob(job_entry& aJob, work_state aState, const std::string& aReason, instant aNow);
   void FinishJobIfDone(job_entry& aJob, instant aNow);
