--- a/src/include/briarwind/record_store.h
+++ b/src/include/briarwind/record_store.h
@@ -59,7 +59,8 @@
 
 /// The platform's key-value store with transactions over several keys. Calls are linearizable, and
 /// every call may suspend the fiber. After kUnavailable or kTimeout the call had no effect. After
-/// kUnknownOutcome it may have taken effect, or may still do so while its conditions hold.
+/// kUnknownOutcome it may have taken effect, or may still do so while its conditions hold. After
+/// kInvalid the store has refused the call for what it holds, and would refuse it again.
 class record_store
 {
 public:
--- a/src/include/briarwind/work_core.h
+++ b/src/include/briarwind/work_core.h
@@ -80,6 +80,8 @@
   milliseconds mRegistryInterval{ 700 };
   /// How long the end of a finished job is retained; set by the deployment, with a margin.
   milliseconds mFinishedRetention{ 150'000 };
+  /// Longest value that the store takes; set by the deployment.
+  std::size_t mMaxValueBytes = std::size_t{ 1 } << 20U;
   /// Interval at which the records of expired jobs are deleted, and failed deletions are retried.
   milliseconds mRemovalInterval{ 5'000 };
 };
@@ -151,6 +153,7 @@
   kWorkerFlaps,           ///< a worker went away repeatedly within a short time
   kWaitsBesideIdle,       ///< tasks keep waiting although a worker has room for one
   kRackReserved,          ///< a gang that waits for room has a rack reserved, or another one
+  kWriteRefused,          ///< the store refused the progress record of a job
   kOccurrencesWait,       ///< due occurrences of a timed job wait until earlier ones have started
 };
 
@@ -212,12 +215,21 @@
   milliseconds mWait{ 0 }; ///< how long the worker may hold the answer until a run ends
 };
 
-/// A progress record to be written for one job if its stored revision is still mExpected.
+/// A part of the progress record of a wide job.
+struct record_part
+{
+  std::int64_t mNumber = 0;
+  std::string mValue; ///< empty: the part is deleted
+};
+
+/// A progress record to be written for one job if its stored revision is still mExpected. The parts
+/// are written, or deleted, in the same transaction.
 struct progress_write
 {
   std::string mJob;
   store_revision mExpected = 0;
   std::string mValue;
+  std::vector<record_part> mParts;
 };
 
 /// A job as read from the store.
@@ -230,6 +242,7 @@
   /// Revision of the accepted record. It identifies the job, because an id may be used again once
   /// the records of the job that had it are deleted.
   store_revision mAcceptedRevision = 0;
+  std::vector<record_part> mProgressParts{};
 };
 
 /// A finished job whose records may be deleted if its progress record still has this revision.
@@ -237,6 +250,7 @@
 {
   std::string mId;
   store_revision mProgressRevision = 0;
+  std::vector<std::int64_t> mParts{}; ///< numbers of the stored parts of its progress record
 };
 
 struct work_counts
@@ -307,12 +321,15 @@
 
   /// Returns the actions decided since the last call.
   std::vector<work_action> TakeActions();
-  /// Returns records that must be written before dependent orders are sent: at most aMax, one per
-  /// job.
+  /// Returns records that must be written before dependent orders are sent: at most one per job,
+  /// and aMax of them with their parts. They are few enough to be sent to the store in one call.
   std::vector<progress_write> TakeWrites(std::size_t aMax);
   void OnWritten(const std::string& aJob, store_revision aRevision, instant aNow);
   /// Called when a record was not written. The core returns it again, to replace revision aCurrent.
   void OnNotWritten(const std::string& aJob, store_revision aCurrent);
+  /// Called when the store refuses a record for what it holds, which a repetition does not change.
+  /// The job's placements that are not stored are taken back, and it is left alone for a while.
+  void OnWriteRefused(const std::string& aJob, std::string_view aReason, instant aNow);
   /// Finished jobs whose retention time has passed and whose final state is stored. They stay known
   /// until ForgetJob is called for them.
   std::vector<expired_job> ExpiredJobs(instant aNow) const;
@@ -348,6 +365,8 @@
   std::vector<organisation_use> OrganisationUse() const;
   /// As of the last decision pass, by each reason that has occurred in this term.
   std::vector<idle_wait> IdleWaits() const;
+  /// Number of jobs that are left alone since the store refused their records.
+  std::size_t JobsWithRefusedRecord() const;
   /// Number of timed jobs with due occurrences that are not open yet, as of the last decision pass.
   int JobsBehindSchedule() const;
   /// Number of racks that were reserved for gangs in the last decision pass.
--- a/src/libcontrol/caller_service.cpp
+++ b/src/libcontrol/caller_service.cpp
@@ -168,6 +168,9 @@
     case intake_outcome::kOverLimit:
       RecordRefusal(aJob, "over the organisation's limit");
       return;
+    case intake_outcome::kTooLarge:
+      RecordRefusal(aJob, "refused by the store");
+      return;
   }
 }
 
--- a/src/libcontrol/control_events.cpp
+++ b/src/libcontrol/control_events.cpp
@@ -41,6 +41,7 @@
   kWorkWaitsBesideIdle,
   kWorkRackReserved,
   kWorkOccurrencesWait,
+  kWorkWriteRefused,
   kWorkWorkerSlow,
   kWorkWorkerNotSlow,
   kWorkWorkerFlaps,
@@ -85,6 +86,7 @@
   kHttpBudgetTotal,   kLimitWaits,
   kIdleWaits,         kStepsBesideIdle,
   kReservedRacks,     kJobsBehindSchedule,
+  kWritesRefused,     kJobsWithRefusedRecord,
 };
 
 } // namespace
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -139,6 +139,11 @@
   "A gang that waits for room has the rack in `reason` reserved: work of the same or a lower rank "
   "is not placed there. Logged when a reservation begins or moves to another rack."
 };
+inline constexpr event_kind kWorkWriteRefused{
+  6115, log_level::kError, "work.write-refused",
+  "The store refuses the progress record of a job, as `reason` says. Its placements that are not "
+  "stored are taken back and it is left alone for `age_ms`; other jobs are not affected."
+};
 inline constexpr event_kind kWorkOccurrencesWait{
   6123, log_level::kInfo, "work.occurrences-wait",
   "Occurrences of a timed job are due and wait until earlier ones of the job have started, as "
@@ -287,6 +292,15 @@
   metric_type::kCounter, "briarwind_node_write_retries_total", "reason",
   "Writes of progress records that had to be repeated, by reason."
 };
+inline constexpr metric_kind kWritesRefused{
+  metric_type::kCounter, "briarwind_node_writes_refused_total", "reason",
+  "Progress records that the store refused for what they hold, by reason; they are not repeated "
+  "unchanged."
+};
+inline constexpr metric_kind kJobsWithRefusedRecord{
+  metric_type::kGauge, "briarwind_node_jobs_with_refused_record", "",
+  "Jobs that the leader leaves alone for a while since the store refused their progress records."
+};
 inline constexpr metric_kind kWorkRemovalRetries{
   metric_type::kCounter, "briarwind_node_removal_retries_total", "reason",
   "Deletions of the records of ended jobs that had to be repeated, by reason."
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -64,7 +64,9 @@
     , mStore(aRuntime, *aAdapters.mStore, aMetrics, [this] { return PeerAddresses(); })
     , mRegistry(aAdapters.mMakeRegistry(mStore))
     , mSettingsView(aRuntime, mStore, aMetrics, *aAdapters.mSettingsCodec)
-    , mIntake(mStore, aMetrics, [this](const stored_value& aValue) { NotifyLeader(aValue); })
+    , mIntake(
+        mStore, aMetrics, [this](const stored_value& aValue) { NotifyLeader(aValue); },
+        aSettings.mWork.mMaxValueBytes)
     , mCallerService(mIntake, mSettingsView, aMetrics,
                      { [this](const std::string& aQueue, instant aDeadline) {
                         return CountWaiting(aQueue, aDeadline);
--- a/src/libcontrol/job_intake.cpp
+++ b/src/libcontrol/job_intake.cpp
@@ -31,10 +31,12 @@
 
 } // namespace
 
-job_intake::job_intake(record_store& aStore, metrics& aMetrics, stored_observer aObserver)
+job_intake::job_intake(record_store& aStore, metrics& aMetrics, stored_observer aObserver,
+                       std::size_t aMaxValueBytes)
   : mStore(aStore)
   , mMetrics(aMetrics)
   , mObserver(std::move(aObserver))
+  , mMaxValueBytes(aMaxValueBytes)
 {
 }
 
@@ -60,6 +62,9 @@
       return { exists ? intake_outcome::kAccepted : intake_outcome::kUnknownJob, {} };
     }
     reason = ToString(done.error().mKind);
+    if (done.error().mKind == error_kind::kInvalid && !unclear) {
+      return { intake_outcome::kTooLarge, done.error().mWhat };
+    }
     unclear = unclear || done.error().mKind == error_kind::kUnknownOutcome;
     const bool storeUnreachable = attempt >= kAttemptsBeforeRefusal && !mStore.IsReachable();
     if (storeUnreachable || (!unclear && attempt >= kAttemptsBeforeRefusal)) {
@@ -75,6 +80,11 @@
   store_transaction transaction;
   transaction.mConditions.push_back({ work_keys::Accepted(aJob.mId), 0 });
   transaction.mWrites.push_back({ work_keys::Accepted(aJob.mId), FormatWorkJob(aJob), 0 });
+  if (const std::size_t size = transaction.mWrites.front().mValue.size(); size > mMaxValueBytes) {
+    return { intake_outcome::kTooLarge,
+             fmt::format("steps: the job takes {} bytes in the store, at most {} are allowed", size,
+                         mMaxValueBytes) };
+  }
   return CommitWithRetries(transaction, aDeadline);
 }
 
--- a/src/libcontrol/job_intake.h
+++ b/src/libcontrol/job_intake.h
@@ -14,6 +14,7 @@
   kUnclear,    ///< may have been stored, or may still be stored after the call returned
   kUnknownJob, ///< the job does not exist
   kOverLimit,  ///< not stored: the job can never run below its organisation's limit
+  kTooLarge,   ///< not stored: the store refuses the job's record for its size or content
 };
 
 struct intake_answer
@@ -37,7 +38,9 @@
   /// suspend the fiber.
   using stored_observer = std::function<void(const stored_value&)>;
 
-  job_intake(record_store& aStore, metrics& aMetrics, stored_observer aObserver = {});
+  /// @param aMaxValueBytes longest value that the store takes
+  job_intake(record_store& aStore, metrics& aMetrics, stored_observer aObserver = {},
+             std::size_t aMaxValueBytes = work_options().mMaxValueBytes);
 
   intake_answer Accept(const work_job& aJob, instant aDeadline);
   intake_answer Cancel(const std::string& aJob, instant aDeadline);
@@ -49,6 +52,7 @@
   record_store& mStore;
   metrics& mMetrics;
   stored_observer mObserver;
+  std::size_t mMaxValueBytes;
 };
 
 } // namespace briarwind
--- a/src/libcontrol/job_intake_test.cpp
+++ b/src/libcontrol/job_intake_test.cpp
@@ -130,6 +130,21 @@
       BW_CHECK(store.Find(work_keys::Cancel("a")) != nullptr);
     }
   }
+  // Guards against a job that can never be stored and is refused as if it could be tried again.
+  BW_SECTION("refuses a job whose record is longer than the store takes, without a call")
+  {
+    job_intake small(store, counters, {}, 100);
+    BW_CHECK(small.Accept(MakeJob("a"), DeadlineIn(milliseconds(500))).mOutcome ==
+             intake_outcome::kTooLarge);
+    BW_EQUAL(0, store.Calls());
+  }
+  BW_SECTION("does not repeat a write that the store refuses for what it holds")
+  {
+    store.mRefuses = [](const store_transaction&) { return true; };
+    BW_CHECK(intake.Accept(MakeJob("a"), DeadlineIn(milliseconds(500))).mOutcome ==
+             intake_outcome::kTooLarge);
+    BW_EQUAL(1, store.Calls());
+  }
   BW_SECTION("reports no state when the store could not be read")
   {
     store.SetDown(true);
--- a/src/libcontrol/testing/fake_record_store.cpp
+++ b/src/libcontrol/testing/fake_record_store.cpp
@@ -169,6 +169,9 @@
   if (!BeginCall()) {
     return DownError();
   }
+  if (mRefuses && mRefuses(aTransaction)) {
+    return IoError(error_kind::kInvalid, "fake store", "refused");
+  }
   const bool leasesExist =
     std::ranges::all_of(aTransaction.mWrites, [&](const store_write& aWrite) {
       return aWrite.mLease == 0 || mLeases.contains(aWrite.mLease);
--- a/src/libcontrol/testing/fake_record_store.h
+++ b/src/libcontrol/testing/fake_record_store.h
@@ -40,6 +40,8 @@
   int Calls() const { return mCalls; }
   /// Runs at the start of each call, before it takes effect.
   std::function<void()> mBeforeCall;
+  /// Transactions that the store refuses for what they hold; empty: none.
+  std::function<bool(const store_transaction&)> mRefuses;
   bool IsReachable() const override { return mReachable; }
   void SetReachable(bool aReachable) { mReachable = aReachable; }
 
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -4,6 +4,7 @@
 #include "work_event_log.h"
 
 #include <algorithm>
+#include <charconv>
 #include <ranges>
 
 namespace briarwind {
@@ -20,6 +21,35 @@
 // The advisor takes time for each worker in the request and handles calls one after another.
 constexpr milliseconds kAdviceTimeout{ 2'000 };
 
+// The progress record of one job, as listed.
+struct stored_progress
+{
+  const stored_value* mMain = nullptr;
+  std::vector<record_part> mParts;
+};
+
+// Keys are those of work_keys::Progress and ProgressPart.
+void AddStoredProgress(const stored_value& aValue,
+                       std::map<std::string_view, stored_progress>& aRecords)
+{
+  const std::string_view name = std::string_view(aValue.mKey).substr(work_keys::kProgress.size());
+  const std::size_t slash = name.find('/');
+  stored_progress& record = aRecords[name.substr(0, slash)];
+  if (slash == std::string_view::npos) {
+    record.mMain = &aValue;
+    return;
+  }
+  std::int64_t number = 0;
+  const char* last = name.data() + name.size();
+  const auto [end, code] = std::from_chars(name.data() + slash + 1, last, number);
+  if (code == std::errc() && end == last) {
+    record.mParts.push_back({ number, aValue.mValue });
+    return;
+  }
+  LogEvent(kWorkRecordUnreadable,
+           { Field("key", aValue.mKey), Field("revision", aValue.mModified) });
+}
+
 wall_time WallNow()
 {
   return std::chrono::system_clock::now();
@@ -44,6 +74,11 @@
   return fmt::format("{}{}", kProgress, aJob);
 }
 
+std::string ProgressPart(std::string_view aJob, std::int64_t aPart)
+{
+  return fmt::format("{}{}/{}", kProgress, aJob, aPart);
+}
+
 } // namespace work_keys
 
 work_driver::work_driver(fiber_runtime& aRuntime, record_store& aStore,
@@ -57,6 +92,7 @@
   , mMetrics(aMetrics)
   , mRegistryInterval(aOptions.mRegistryInterval)
   , mRemovalInterval(aOptions.mRemovalInterval)
+  , mMaxValueBytes(aOptions.mMaxValueBytes)
   , mCore(aOptions)
 {
 }
@@ -154,9 +190,9 @@
   const instant now = monotonic_clock::now();
   mCore.BeginTerm(epoch, now);
   mCore.SetSettings(mSettings, now);
-  std::map<std::string_view, const stored_value*> records;
+  std::map<std::string_view, stored_progress> records;
   for (const stored_value& each : progress.value().mValues) {
-    records.emplace(std::string_view(each.mKey).substr(work_keys::kProgress.size()), &each);
+    AddStoredProgress(each, records);
   }
   for (const stored_value& each : accepted.value().mValues) {
     if (each.mKey.ends_with(work_keys::kCancelSuffix)) {
@@ -170,8 +206,11 @@
     }
     stored_job stored{ job.value(), false, {}, 0, each.mModified };
     if (const auto record = records.find(job.value().mId); record != records.end()) {
-      stored.mProgress = record->second->mValue;
-      stored.mProgressRevision = record->second->mModified;
+      stored.mProgressParts = std::move(record->second.mParts);
+      if (const stored_value* main = record->second.mMain; main != nullptr) {
+        stored.mProgress = main->mValue;
+        stored.mProgressRevision = main->mModified;
+      }
     }
     mCore.AddJob(stored, now, WallNow());
   }
@@ -277,6 +316,7 @@
   mMetrics.Set(kInterferingPairs, static_cast<double>(mCore.InterferingPairs()));
   mMetrics.Set(kReservedRacks, static_cast<double>(mCore.ReservedRacks()));
   mMetrics.Set(kJobsBehindSchedule, mCore.JobsBehindSchedule());
+  mMetrics.Set(kJobsWithRefusedRecord, static_cast<double>(mCore.JobsWithRefusedRecord()));
   for (const idle_wait& each : mCore.IdleWaits()) {
     mMetrics.Set(kStepsBesideIdle, each.mSteps, ToString(each.mReason));
   }
--- a/src/libcontrol/work_driver.h
+++ b/src/libcontrol/work_driver.h
@@ -24,6 +24,8 @@
 std::string Accepted(std::string_view aJob);
 std::string Cancel(std::string_view aJob);
 std::string Progress(std::string_view aJob);
+/// Key of a part of a wide job's progress record.
+std::string ProgressPart(std::string_view aJob, std::int64_t aPart);
 } // namespace work_keys
 
 /// Connects the scheduling core to the store and the workers while this host leads: feeds jobs,
@@ -90,7 +92,16 @@
   void RunPoll(const std::string& aWorker, const poll_plan& aPlan,
                std::set<std::string>& aInFlight);
   void StartWrites();
+  /// What became of a transaction that the store answered.
+  enum class write_outcome : std::uint8_t
+  {
+    kDone,    ///< stored, or another host leads or has written the record
+    kNotYet,  ///< to be repeated
+    kRefused, ///< for what it holds; repeating it is of no use
+  };
   void RunWrite(const std::vector<progress_write>& aWrites);
+  write_outcome CommitOnce(const std::vector<progress_write>& aWrites, error& aFailure);
+  bool FitsStore(const std::vector<progress_write>& aWrites) const;
   bool ApplyWriteResult(const std::vector<progress_write>& aWrites,
                         const transaction_result& aResult);
   /// Whether the leader key, as a rejected transaction has found it, is still this leader's. Steps
@@ -104,7 +115,15 @@
   leader_key CheckLeaderKey(const transaction_result& aResult);
   void StartRemoval();
   void RemoveExpiredJobs(int aTerm);
-  bool RemoveRecords(const expired_job& aJob, int aTerm);
+  /// What became of the removal of one job's records.
+  enum class removal_outcome : std::uint8_t
+  {
+    kDone,
+    kLater,   ///< the store does not answer, or this host does not lead
+    kRefused, ///< of this job only
+  };
+  removal_outcome RemoveRecords(const expired_job& aJob, int aTerm);
+  bool RemoveParts(const expired_job& aJob, int aTerm, error& aFailure);
   void ReportSuperseded(std::string_view aReason);
   bool HandleFenced(std::int64_t aEpoch);
   bool IsCurrentTerm(int aTerm) const { return mLeadership != nullptr && mTerm == aTerm; }
@@ -117,6 +136,7 @@
   metrics& mMetrics;
   milliseconds mRegistryInterval;
   milliseconds mRemovalInterval;
+  std::size_t mMaxValueBytes;
   work_core mCore;
   work_settings mSettings;
   const leadership* mLeadership = nullptr;
--- a/src/libcontrol/work_driver_test.cpp
+++ b/src/libcontrol/work_driver_test.cpp
@@ -3,6 +3,8 @@
 
 #include "briarwind/testing.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 using namespace briarwind;
@@ -101,7 +103,7 @@
   return aCondition();
 }
 
-stored_value MakeAcceptedJob(const std::string& aId)
+stored_value MakeAcceptedJob(const std::string& aId, int aTasks = 1)
 {
   work_job job;
   job.mId = aId;
@@ -110,6 +112,10 @@
   work_step step;
   step.mDemand = { 1, 1'000, 1'000 };
   step.mEstimate = milliseconds(60'000);
+  if (aTasks > 1) {
+    step.mCount = aTasks;
+    step.mDemand = { 0, 1, 1 };
+  }
   job.mSteps = { step };
   stored_value value;
   value.mKey = work_keys::Accepted(aId);
@@ -140,9 +146,9 @@
     mDriver.SetSettings(settings);
   }
 
-  void Accept(const std::string& aJob)
+  void Accept(const std::string& aJob, int aTasks = 1)
   {
-    const stored_value record = MakeAcceptedJob(aJob);
+    const stored_value record = MakeAcceptedJob(aJob, aTasks);
     mStore.Put(record.mKey, record.mValue);
   }
   bool HasRecords(const std::string& aJob) const
@@ -317,3 +323,85 @@
   }
   leader->Resign();
 }
+
+// Guards against a write that the store refuses for what it holds and that is repeated for ever,
+// takes one of the few places for writes and keeps the jobs in the same transaction from running
+// (review/14).
+BW_STORY("the store refuses the records of some jobs")
+{
+  auto& leader = *new test_leader;
+  int refused = 0;
+  leader.mStore.mRefuses = [&](const store_transaction& aTransaction) {
+    const bool isOdd = std::ranges::any_of(aTransaction.mWrites, [](const store_write& aWrite) {
+      return aWrite.mKey.starts_with(work_keys::Progress("odd"));
+    });
+    refused += isOdd ? 1 : 0;
+    return isOdd;
+  };
+  for (int i = 0; i < 6; ++i) {
+    leader.Accept(fmt::format("odd{}", i));
+  }
+  leader.Accept("good");
+  leader.mLeadership.Start();
+  BW_CHECK(WaitFor([&] { return leader.mWorker.mStarts.size() == 1; }));
+  BW_EQUAL(std::string("good"), leader.mWorker.mStarts.front().first.mTask.mJob);
+
+  BW_SECTION("jobs that come later run, and nothing is repeated unchanged")
+  {
+    SleepFor(milliseconds(1'000));
+    const int before = refused;
+    SleepFor(milliseconds(1'000));
+    BW_EQUAL(before, refused);
+    leader.Accept("later");
+    BW_CHECK(WaitFor([&] { return leader.mWorker.mStarts.size() == 2; }));
+    BW_EQUAL(std::string("later"), leader.mWorker.mStarts.back().first.mTask.mJob);
+  }
+  leader.mLeadership.Resign();
+}
+
+// Guards against records of a wide job that cannot be deleted, or only in part, since they are more
+// than a transaction takes.
+BW_STORY("the records of a finished wide job are removed")
+{
+  constexpr int kParts = 40;
+  auto& leader = *new test_leader(ShortRetention());
+  std::size_t mostEntries = 0;
+  leader.mStore.mRefuses = [&](const store_transaction& aTransaction) {
+    mostEntries =
+      std::max(mostEntries, aTransaction.mConditions.size() + aTransaction.mWrites.size() +
+                              aTransaction.mDeletes.size());
+    return false;
+  };
+  leader.Accept("a", kParts * 512);
+  for (int part = 0; part < kParts; ++part) {
+    leader.mStore.Put(work_keys::ProgressPart("a", part), R"({"done":[[0,0,1]],"tasks":[]})");
+  }
+  leader.mStore.Put(work_keys::Progress("a"), R"({"state":"completed","change":9,"parts":true})");
+  leader.mLeadership.Start();
+  BW_CHECK(WaitFor([&] { return !leader.HasRecords("a"); }));
+  for (int part = 0; part < kParts; ++part) {
+    BW_CHECK(leader.mStore.Find(work_keys::ProgressPart("a", part)) == nullptr);
+  }
+  BW_CHECK(mostEntries <= record_store::kMaxTransactionEntries);
+  BW_CHECK(leader.mWorker.mStarts.empty());
+  leader.mLeadership.Resign();
+}
+
+// Guards against runs of a wide job that the next leader does not know and starts again.
+BW_STORY("a leader takes over a wide job")
+{
+  auto& leader = *new test_leader;
+  const run_id running{ { "a", 0, 0, 700 }, 1 };
+  leader.Accept("a", 3'000);
+  leader.mStore.Put(work_keys::ProgressPart("a", 0), R"({"done":[[0,0,0,1,2]],"tasks":[]})");
+  leader.mStore.Put(work_keys::ProgressPart("a", 1),
+                    R"({"done":[],"tasks":[[0,0,700,1,0,"w",""]]})");
+  leader.mStore.Put(work_keys::Progress("a"), R"({"state":"running","change":9,"parts":true})");
+  leader.mWorker.mRunning.push_back({ running, {}, 1 });
+  leader.mLeadership.Start();
+  BW_CHECK(WaitFor([&] { return leader.mWorker.mStarts.size() == 3'000 - 4; }));
+  BW_CHECK(std::ranges::none_of(leader.mWorker.mStarts, [&](const auto& aStart) {
+    return aStart.first.mTask.mIndex < 3 || aStart.first == running;
+  }));
+  leader.mLeadership.Resign();
+}
--- a/src/libcontrol/work_event_log.cpp
+++ b/src/libcontrol/work_event_log.cpp
@@ -49,6 +49,8 @@
       return kWorkWaitsBesideIdle;
     case work_event_kind::kRackReserved:
       return kWorkRackReserved;
+    case work_event_kind::kWriteRefused:
+      return kWorkWriteRefused;
     case work_event_kind::kOccurrencesWait:
       return kWorkOccurrencesWait;
   }
--- a/src/libwork/testing/fleet_simulation.cpp
+++ b/src/libwork/testing/fleet_simulation.cpp
@@ -88,6 +88,9 @@
     if (const auto record = mRecords.find(id); record != mRecords.end()) {
       stored.mProgress = record->second.mValue;
       stored.mProgressRevision = record->second.mRevision;
+      for (const auto& [number, value] : record->second.mParts) {
+        stored.mProgressParts.push_back({ number, value });
+      }
     }
     next->mCore->AddJob(stored, mNow, WallAt(mNow));
   }
@@ -247,7 +250,12 @@
       due.mWriter->mCore->OnNotWritten(due.mWrite.mJob, record.mRevision);
       continue;
     }
-    record = { due.mWrite.mValue, ++mRevision };
+    record.mValue = due.mWrite.mValue;
+    record.mRevision = ++mRevision;
+    for (const record_part& each : due.mWrite.mParts) {
+      record.mParts[each.mNumber] = each.mValue;
+      std::erase_if(record.mParts, [](const auto& aPart) { return aPart.second.empty(); });
+    }
     due.mWriter->mCore->OnWritten(due.mWrite.mJob, record.mRevision, mNow);
   }
 }
--- a/src/libwork/testing/fleet_simulation.h
+++ b/src/libwork/testing/fleet_simulation.h
@@ -90,6 +90,7 @@
   {
     std::string mValue;
     store_revision mRevision = 0;
+    std::map<std::int64_t, std::string> mParts;
   };
   struct pending_write
   {
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -1,3 +1,4 @@
+#include "record_parts.h"
 #include "work_record.h"
 #include "work_table.h"
 
@@ -13,19 +14,10 @@
 // An occurrence opens only while fewer than this many of its job wait for workers: those behind
 // them could not start either, and each costs memory and a part of every placement pass.
 constexpr int kMaxWaitingOccurrences = 64;
-// Tasks of one job's open occurrences together, beyond the first: as many as the whole fleet runs.
-constexpr std::int64_t kMaxOpenTasks = 32'000;
 // Tasks of the occurrences that one decision opens over all jobs; the next ones follow with the
 // next decision.
 constexpr int kMaxTasksOpenedAtOnce = 4'096;
 
-std::int64_t TasksPerOccurrence(const work_job& aJob)
-{
-  return std::accumulate(
-    aJob.mSteps.begin(), aJob.mSteps.end(), std::int64_t{ 0 },
-    [](std::int64_t aSum, const work_step& aStep) { return aSum + aStep.mCount; });
-}
-
 // Whether one more occurrence may be open. The first one always may.
 bool MayOpenMore(const job_entry& aJob, std::int64_t aTasks)
 {
@@ -120,6 +112,43 @@
   return &aJob.mOccurrences.try_emplace(aNumber, aJob.mSpec, aNumber).first->second;
 }
 
+void work_core::state::MarkPartChanged(job_entry& aJob, const task_id& aTask)
+{
+  if (aJob.mIsInParts) {
+    const std::int64_t part = PartOf(aJob.mSpec, aTask);
+    aJob.mParts[part].mChange = aJob.mChange;
+    aJob.mChangedParts.insert(part);
+  }
+}
+
+void work_core::state::MarkStepChanged(job_entry& aJob, const task_id& aTask)
+{
+  const step_entry* step = aJob.mIsInParts ? FindStep(aTask) : nullptr;
+  const int count = step == nullptr ? 0 : static_cast<int>(step->mTasks.size());
+  task_id each = aTask;
+  for (each.mIndex = 0; each.mIndex < count; ++each.mIndex) {
+    MarkPartChanged(aJob, each);
+  }
+}
+
+std::int64_t job_entry::LastChange(const task_id& aTask) const
+{
+  if (!mIsInParts || IsFinished()) {
+    return mChange;
+  }
+  const auto part = mParts.find(PartOf(mSpec, aTask));
+  return part == mParts.end() ? 0 : part->second.mChange;
+}
+
+bool job_entry::IsStored(const task_id& aTask, std::int64_t aChange) const
+{
+  if (!mIsInParts || IsFinished()) {
+    return mChangeStored >= aChange;
+  }
+  const auto part = mParts.find(PartOf(mSpec, aTask));
+  return part == mParts.end() || part->second.mChangeStored >= aChange;
+}
+
 // Occurrences become due by the wall clock alone. The tolerance for early starts covers the error
 // of that clock.
 int work_core::state::OpenOccurrences(job_entry& aJob, wall_time aWallNow, int aMaxTasks)
@@ -173,6 +202,7 @@
 void work_core::state::RestoreJob(job_entry& aJob, const stored_job& aStored, instant aNow)
 {
   aJob.mRevision = aStored.mProgressRevision;
+  aJob.mIsInParts = IsInParts(aJob.mSpec);
   if (aStored.mProgress.empty()) {
     return;
   }
@@ -185,9 +215,12 @@
   const progress_record& record = read.value();
   aJob.mState = record.mState;
   aJob.mReason = record.mReason;
+  // The former version has kept the progress of any job in one record, which is continued.
+  aJob.mIsInParts = record.mIsInParts;
   if (aJob.IsFinished()) {
     aJob.mFinishedAt = aNow;
     RestoreStoppingRuns(aJob, record.mStopping, aNow);
+    RestoreParts(aJob, aStored, aNow);
     return;
   }
   for (const auto& [first, last] : record.mFinishedOccurrences) {
@@ -196,6 +229,58 @@
   RestoreSteps(aJob, record);
   RestoreStoppingRuns(aJob, record.mStopping, aNow);
   RestoreTasks(aJob, record.mTasks, aNow);
+  RestoreParts(aJob, aStored, aNow);
+}
+
+// Parts may be of different changes, where an earlier leader was replaced between two transactions.
+// Each names runs before their orders are sent and ends before they are acknowledged. Of a finished
+// job they name the runs that may still be stopping.
+void work_core::state::RestoreParts(job_entry& aJob, const stored_job& aStored, instant aNow)
+{
+  std::vector<progress_record> records;
+  for (const record_part& each : aStored.mProgressParts) {
+    aJob.mParts[each.mNumber].mIsStored = true;
+    auto read = ToIoResult([&] { return ParseProgress(each.mValue, aJob.mSpec.mId); });
+    if (!read) {
+      EmitEvent(work_event_kind::kLost, aJob.mSpec.mId, {}, {},
+                fmt::format("part {} of the stored progress record is unreadable; its tasks start "
+                            "from the beginning",
+                            each.mNumber));
+      continue;
+    }
+    records.push_back(std::move(read).value());
+  }
+  if (aJob.IsFinished()) {
+    for (progress_record& each : records) {
+      std::erase_if(each.mTasks, [](const progress_task& aTask) { return aTask.mWorker.empty(); });
+      RestoreStoppingRuns(aJob, each.mTasks, aNow);
+    }
+    return;
+  }
+  for (const progress_record& each : records) {
+    RestoreSteps(aJob, each);
+  }
+  RestoreGangEnds(aJob);
+  for (const progress_record& each : records) {
+    RestoreTasks(aJob, each.mTasks, aNow);
+  }
+}
+
+// The end of one member stands for all of them, whatever parts their rows are in.
+void work_core::state::RestoreGangEnds(job_entry& aJob)
+{
+  for (auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::size_t i = 0; i < occurrence.mSteps.size(); ++i) {
+      step_entry& step = occurrence.mSteps[i];
+      if (!aJob.mSpec.mSteps[i].mGang || step.DoneTasks() == 0 || step.IsDone()) {
+        continue;
+      }
+      MarkChanged(aJob);
+      MarkStepChanged(aJob, { aJob.mSpec.mId, number, static_cast<int>(i), 0 });
+      std::ranges::for_each(step.mTasks,
+                            [&](task_entry& aTask) { step.SetPhase(aTask, task_phase::kDone); });
+    }
+  }
 }
 
 // Only the occurrences that the record says something about are opened; the others are opened as
@@ -238,6 +323,8 @@
     }
     task->mRun = each.mRun;
     step->SetFailures(*task, each.mFailures);
+    task->mCountedFailure = each.mCountedFailure;
+    step->mLastFailedRun = std::max(step->mLastFailedRun, each.mCountedFailure);
     task->mCheckpoint = each.mCheckpoint;
     if (!each.mWorker.empty()) {
       step->SetPhase(*task, task_phase::kLive);
@@ -255,7 +342,7 @@
 {
   for (const progress_task& each : aStopping) {
     if (each.mTask.mStep >= 0 && each.mTask.mStep < static_cast<int>(aJob.mSpec.mSteps.size())) {
-      aJob.mStoppingRuns.emplace_back(run_id{ each.mTask, each.mRun }, each.mWorker);
+      aJob.mStoppingRuns.emplace(each.mWorker, run_id{ each.mTask, each.mRun });
       RestoreRun(aJob, { each.mTask, each.mRun }, each.mWorker, aNow);
     }
   }
@@ -296,6 +383,10 @@
   if (mSettings.mVersion > 0 && !mLedger.HasLimit(aJob.mSpec.mOrganisation)) {
     return;
   }
+  // The parts that are stored last name the runs of a wide job.
+  if (aJob.mIsInParts) {
+    return;
+  }
   for (const auto& [id, worker] : mWorkers) {
     const auto first = worker.mRuns.lower_bound(run_id{ { aJob.mSpec.mId, 0, 0, 0 }, 0 });
     for (auto each = first; each != worker.mRuns.end() && each->first.mTask.mJob == aJob.mSpec.mId;
@@ -304,7 +395,7 @@
       const bool needed =
         task != nullptr && task->mPhase == task_phase::kLive && task->mRun == each->first.mRun;
       if (!needed) {
-        aJob.mStoppingRuns.emplace_back(each->first, id);
+        aJob.mStoppingRuns.emplace(id, each->first);
       }
     }
   }
--- a/src/libwork/work_names.cpp
+++ b/src/libwork/work_names.cpp
@@ -73,7 +73,7 @@
 
 std::string_view ToString(work_event_kind aKind)
 {
-  static constexpr std::array<std::string_view, 22> kNames{
+  static constexpr std::array<std::string_view, 23> kNames{
     "job-known",
     "started",
     "start-failed",
@@ -95,6 +95,7 @@
     "worker-flaps",
     "waits-beside-idle",
     "rack-reserved",
+    "write-refused",
     "occurrences-wait",
   };
   return NameAt(kNames, aKind);
--- a/src/libwork/work_record.cpp
+++ b/src/libwork/work_record.cpp
@@ -1,5 +1,7 @@
 #include "work_record.h"
 
+#include "record_parts.h"
+
 #include "briarwind/json_fields.h"
 
 #include <boost/json.hpp>
@@ -25,13 +27,17 @@
 json::array TaskRow(const task_id& aTask, const task_entry& aEntry)
 {
   const bool live = aEntry.mPhase == task_phase::kLive;
-  return { aTask.mOccurrence,
-           aTask.mStep,
-           aTask.mIndex,
-           aEntry.mRun,
-           aEntry.mFailures,
-           json::string(live ? aEntry.mWorker : std::string()),
-           json::string(aEntry.mCheckpoint) };
+  json::array row{ aTask.mOccurrence,
+                   aTask.mStep,
+                   aTask.mIndex,
+                   aEntry.mRun,
+                   aEntry.mFailures,
+                   json::string(live ? aEntry.mWorker : std::string()),
+                   json::string(aEntry.mCheckpoint) };
+  if (aEntry.mCountedFailure > 0) {
+    row.emplace_back(aEntry.mCountedFailure);
+  }
+  return row;
 }
 
 bool IsUntouched(const task_entry& aTask)
@@ -39,15 +45,15 @@
   return aTask.mPhase != task_phase::kLive && aTask.mRun == 0;
 }
 
-json::array DoneRow(int aOccurrence, int aStep, const step_entry& aEntry)
+json::array DoneRow(const task_id& aFirst, int aCount, const step_entry& aStep)
 {
-  json::array row{ aOccurrence, aStep };
-  if (aEntry.IsDone()) {
+  json::array row{ aFirst.mOccurrence, aFirst.mStep };
+  if (aStep.IsDone() && aCount == static_cast<int>(aStep.mTasks.size())) {
     return row;
   }
-  for (std::size_t i = 0; i < aEntry.mTasks.size(); ++i) {
-    if (aEntry.mTasks[i].mPhase == task_phase::kDone) {
-      row.emplace_back(static_cast<std::int64_t>(i));
+  for (int i = aFirst.mIndex; i < aFirst.mIndex + aCount; ++i) {
+    if (aStep.mTasks[static_cast<std::size_t>(i)].mPhase == task_phase::kDone) {
+      row.emplace_back(i);
     }
   }
   return row;
@@ -110,7 +116,8 @@
            IntAt(aRow, 3),
            static_cast<int>(IntAt(aRow, 4)),
            TextAt(aRow, 5),
-           TextAt(aRow, 6) };
+           TextAt(aRow, 6),
+           IntAt(aRow, 7) };
 }
 
 progress_done ReadDone(const json::array& aRow)
@@ -150,42 +157,53 @@
 
 } // namespace
 
+void progress_rows::AddTasks(const task_id& aFirst, int aCount, const step_entry& aStep)
+{
+  if (aStep.DoneTasks() > 0) {
+    json::array done = DoneRow(aFirst, aCount, aStep);
+    const bool isWhole = aCount == static_cast<int>(aStep.mTasks.size());
+    if (done.size() > 2 || (isWhole && aStep.IsDone())) {
+      mDone.emplace_back(std::move(done));
+    }
+  }
+  task_id task = aFirst;
+  for (; task.mIndex < aFirst.mIndex + aCount; ++task.mIndex) {
+    const task_entry& entry = aStep.mTasks[static_cast<std::size_t>(task.mIndex)];
+    if (entry.mPhase != task_phase::kDone && !IsUntouched(entry)) {
+      mTasks.emplace_back(TaskRow(task, entry));
+    }
+  }
+}
+
 std::string FormatProgress(const job_entry& aJob, std::int64_t aEpoch)
 {
-  json::array done;
-  json::array tasks;
+  progress_rows rows;
   json::array failures;
-  if (!aJob.IsFinished()) {
+  if (!aJob.IsFinished() && !aJob.mIsInParts) {
     for (const auto& [number, occurrence] : aJob.mOccurrences) {
       for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
         const step_entry& entry = occurrence.mSteps[step];
         const int index = static_cast<int>(step);
-        if (entry.DoneTasks() > 0) {
-          done.emplace_back(DoneRow(number, index, entry));
-        }
         if (entry.mLastFailedRun > 0 && !entry.IsDone()) {
           failures.emplace_back(FailureRow(number, index, entry));
         }
-        for (std::size_t i = 0; i < entry.mTasks.size(); ++i) {
-          const task_entry& task = entry.mTasks[i];
-          if (task.mPhase == task_phase::kDone || IsUntouched(task)) {
-            continue;
-          }
-          const task_id id{ aJob.mSpec.mId, number, index, static_cast<int>(i) };
-          tasks.emplace_back(TaskRow(id, task));
-        }
+        rows.AddTasks({ aJob.mSpec.mId, number, index, 0 }, static_cast<int>(entry.mTasks.size()),
+                      entry);
       }
     }
   }
   json::object record{ { "state", ToString(aJob.mState) }, { "epoch", aEpoch },
                        { "change", aJob.mChange },         { "next", NextOccurrence(aJob) },
-                       { "done", std::move(done) },        { "tasks", std::move(tasks) } };
+                       { "done", std::move(rows.mDone) },  { "tasks", std::move(rows.mTasks) } };
+  if (aJob.mIsInParts) {
+    record["parts"] = true;
+  }
   if (!failures.empty()) {
     record["failed"] = std::move(failures);
   }
   if (!aJob.mStoppingRuns.empty()) {
     json::array stopping;
-    for (const auto& [run, worker] : aJob.mStoppingRuns) {
+    for (const auto& [worker, run] : aJob.mStoppingRuns) {
       stopping.emplace_back(StoppingRow(run, worker));
     }
     record["stopping"] = std::move(stopping);
@@ -203,6 +221,7 @@
   progress_record record;
   record.mState = ParseStateOrQueued(TextField(object, "state"));
   record.mReason = TextField(object, "reason");
+  record.mIsInParts = BooleanField(object, "parts");
   for (const json::value& each : ArrayField(object, "over")) {
     if (const auto number = ReadOccurrence(each)) {
       record.mFinishedOccurrences.emplace_back(*number, *number);
@@ -352,7 +371,7 @@
 // Whether the former version could read the job's progress records, whatever its course.
 bool IsReadableByFormerVersion(const work_job& aJob)
 {
-  return aJob.mOccurrences <= static_cast<int>(kMaxListedOccurrences);
+  return aJob.mOccurrences <= static_cast<int>(kMaxListedOccurrences) && !IsInParts(aJob);
 }
 
 // Holds the steps of a job that the former version must leave alone. It passes over accepted
--- a/src/libwork/work_record.h
+++ b/src/libwork/work_record.h
@@ -2,6 +2,8 @@
 
 #include "work_table.h"
 
+#include <boost/json.hpp>
+
 namespace briarwind {
 
 /// JSON of a job's progress record: state, tasks that are done, live runs with their workers, run
@@ -17,6 +19,7 @@
   int mFailures = 0;
   std::string mWorker; ///< empty: no live run
   std::string mCheckpoint;
+  run_number mCountedFailure = 0; ///< in parts only, see task_entry
 };
 
 /// Tasks of one step that are done.
@@ -40,6 +43,7 @@
 {
   work_state mState = work_state::kQueued;
   std::string mReason;
+  bool mIsInParts = false; ///< the rows of tasks are in parts, which have the same form
   std::vector<std::pair<int, int>> mFinishedOccurrences; ///< first and last of each interval
   std::vector<progress_done> mDone;
   std::vector<progress_task> mTasks;
@@ -48,6 +52,15 @@
   std::vector<progress_task> mStopping;
 };
 
+/// Rows of the given tasks of one step, which follow each other, for a record or a part of it.
+struct progress_rows
+{
+  boost::json::array mDone;
+  boost::json::array mTasks;
+
+  void AddTasks(const task_id& aFirst, int aCount, const step_entry& aStep);
+};
+
 /// Fails when the text is no JSON object; fields that are missing or malformed read as empty.
 /// @param aJob id of the job, for the ids of the tasks
 result<progress_record> ParseProgress(std::string_view aJson, const std::string& aJob);
--- a/src/libwork/work_reports.cpp
+++ b/src/libwork/work_reports.cpp
@@ -9,11 +9,37 @@
 
 constexpr std::string_view kNoProgress = "the run made no progress";
 
-const listed_run* FindListed(const worker_report& aReport, const run_id& aRun)
+// Finds the runs of a report; a worker may list hundreds.
+class report_index
 {
-  const auto found = std::ranges::find(aReport.mRunning, aRun, &listed_run::mRun);
-  return found == aReport.mRunning.end() ? nullptr : &*found;
-}
+public:
+  explicit report_index(const worker_report& aReport)
+  {
+    for (const listed_run& each : aReport.mRunning) {
+      mRunning.push_back(&each);
+    }
+    for (const listed_end& each : aReport.mEnds) {
+      mEnds.push_back(&each);
+    }
+    // Of a run that is listed twice, the first entry counts.
+    std::ranges::stable_sort(mRunning, {}, &listed_run::mRun);
+    std::ranges::sort(mEnds, {}, &listed_end::mRun);
+  }
+
+  const listed_run* FindRunning(const run_id& aRun) const
+  {
+    const auto found = std::ranges::lower_bound(mRunning, aRun, {}, &listed_run::mRun);
+    return found == mRunning.end() || (*found)->mRun != aRun ? nullptr : *found;
+  }
+  bool HasEnded(const run_id& aRun) const
+  {
+    return std::ranges::binary_search(mEnds, aRun, {}, &listed_end::mRun);
+  }
+
+private:
+  std::vector<const listed_run*> mRunning;
+  std::vector<const listed_end*> mEnds;
+};
 
 // Whether a run that is missing from the worker's report has certainly ended. The poll has raised
 // the worker's fencing epoch, so an order of an earlier leader can no longer take effect.
@@ -143,8 +169,11 @@
     // Also for an unknown run: its end may have been applied already, while the record is not
     // stored yet.
     const job_entry* job = FindJob(each.mRun.mTask.mJob);
-    if (job != nullptr && job->mChangeStored < job->mChange) {
-      aWorker.mPendingEnds[each.mNumber] = { job->mSpec.mId, job->mChange };
+    if (job != nullptr) {
+      const std::int64_t change = job->LastChange(each.mRun.mTask);
+      if (!job->IsStored(each.mRun.mTask, change)) {
+        aWorker.mPendingEnds[each.mNumber] = { each.mRun.mTask, change };
+      }
     }
   }
 }
@@ -166,16 +195,16 @@
 {
   std::vector<std::pair<run_id, std::string_view>> toStop;
   std::vector<run_id> gone;
+  const report_index listedRuns(aReport);
   for (auto& [id, run] : aWorker.mRuns) {
-    if (const listed_run* listed = FindListed(aReport, id)) {
+    if (const listed_run* listed = listedRuns.FindRunning(id)) {
       const std::string_view reason = ApplyListedRun(aWorker, id, run, *listed, aNow);
       if (!reason.empty()) {
         toStop.emplace_back(id, reason);
       }
       continue;
     }
-    const bool ended = std::ranges::count(aReport.mEnds, id, &listed_end::mRun) > 0;
-    if (ended || aReport.mMoreEnds) {
+    if (listedRuns.HasEnded(id) || aReport.mMoreEnds) {
       continue;
     }
     if (IsCertainlyGone(run, aSent)) {
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -33,7 +33,7 @@
     mWithoutRoom.clear();
     mReplan = true;
     if (job_entry* job = FindJob(aRun.mTask.mJob)) {
-      std::erase(job->mStoppingRuns, std::pair(aRun, aWorker.mInfo.mId));
+      job->mStoppingRuns.erase({ aWorker.mInfo.mId, aRun });
     }
   }
 }
@@ -110,10 +110,12 @@
       for (task_entry& each : step->mTasks) {
         each.mCheckpoint = aCheckpoint;
       }
+      MarkStepChanged(*job, aRun.mTask);
     }
   }
   step->mReadySince = aNow;
   MarkChanged(*job);
+  MarkPartChanged(*job, aRun.mTask);
 }
 
 void work_core::state::MarkTaskDone(const task_id& aTask, instant aNow)
@@ -134,6 +136,11 @@
     RecordStoppingRuns(*job);
   }
   MarkChanged(*job);
+  if (gang) {
+    MarkStepChanged(*job, aTask);
+  } else {
+    MarkPartChanged(*job, aTask);
+  }
   if (step->IsDone()) {
     mRates.OnStepDone(aTask, aNow);
     FinishJobIfDone(*job, aNow);
@@ -155,6 +162,9 @@
   // reads the report.
   const bool isCounted = spec.mGang && std::exchange(step->mLastFailedRun, aRun.mRun) == aRun.mRun;
   step->SetFailures(*task, task->mFailures + (isCounted ? 0 : 1));
+  if (spec.mGang && !isCounted) {
+    task->mCountedFailure = aRun.mRun;
+  }
   const int failures = spec.mGang ? step->FailedGangRuns() : task->mFailures;
   const auto queue = mSettings.mQueues.find(job->mSpec.mQueue);
   const int attempts =
@@ -247,49 +257,47 @@
 // polls that worker.
 void work_core::state::SendRecordedStarts(job_entry& aJob, instant aNow)
 {
-  std::vector<std::pair<std::string, run_id>> unusable;
-  for (auto& [number, occurrence] : aJob.mOccurrences) {
-    for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
-      const work_step& spec = aJob.mSpec.mSteps[step];
-      step_entry& entry = occurrence.mSteps[step];
-      for (std::size_t i = 0; i < entry.mTasks.size(); ++i) {
-        task_entry& task = entry.mTasks[i];
-        const auto worker = mWorkers.find(task.mWorker);
-        if (task.mPhase != task_phase::kLive || worker == mWorkers.end()) {
-          continue;
-        }
-        const run_id id{ { aJob.mSpec.mId, number, static_cast<int>(step), static_cast<int>(i) },
-                         task.mRun };
-        const auto run = worker->second.mRuns.find(id);
-        if (run == worker->second.mRuns.end() || run->second.mPhase != run_phase::kRecording ||
-            run->second.mRecordedIn > aJob.mChangeStored) {
-          continue;
-        }
-        ready_unit unit;
-        unit.mJob = &aJob;
-        unit.mOccurrence = &occurrence;
-        unit.mStep = static_cast<int>(step);
-        const auto queue = mSettings.mQueues.find(aJob.mSpec.mQueue);
-        unit.mQueue = queue == mSettings.mQueues.end() ? &aJob.mSpec.mPolicy : &queue->second;
-        // The limit may have been lowered while the record was being stored.
-        if (!IsUsable(worker->second, unit, aNow) ||
-            mLedger.IsOverLimit(aJob.mSpec.mOrganisation)) {
-          unusable.emplace_back(task.mWorker, id);
-          continue;
-        }
-        run->second.mPhase = run_phase::kStarting;
-        run->second.mPhaseSince = aNow;
-        run->second.mStartedAt = aNow;
-        mActions.emplace_back(start_run{ id, task.mWorker, aJob.mSpec.mPayload,
-                                         spec.mCheckpoints ? task.mCheckpoint : std::string(),
-                                         entry.mAdvice[task.mWorker].mTicket });
-        EmitEvent(work_event_kind::kStarted, aJob.mSpec.mId, ToString(id.mTask), task.mWorker,
-                  fmt::format("run {}", id.mRun),
-                  std::chrono::duration_cast<milliseconds>(aNow - worker->second.mClockReadAt));
-      }
+  std::vector<std::pair<run_id, std::string>> unusable;
+  std::vector<std::pair<run_id, std::string>> unrecorded;
+  for (auto& [id, workerId] : std::exchange(aJob.mRecordingRuns, {})) {
+    const auto worker = mWorkers.find(workerId);
+    if (worker == mWorkers.end()) {
+      continue;
+    }
+    const auto run = worker->second.mRuns.find(id);
+    if (run == worker->second.mRuns.end() || run->second.mPhase != run_phase::kRecording) {
+      continue;
+    }
+    if (!aJob.IsStored(id.mTask, run->second.mRecordedIn)) {
+      unrecorded.emplace_back(id, workerId);
+      continue;
     }
+    occurrence_entry& occurrence = aJob.mOccurrences.at(id.mTask.mOccurrence);
+    step_entry& entry = *FindStep(id.mTask);
+    ready_unit unit;
+    unit.mJob = &aJob;
+    unit.mOccurrence = &occurrence;
+    unit.mStep = id.mTask.mStep;
+    const auto queue = mSettings.mQueues.find(aJob.mSpec.mQueue);
+    unit.mQueue = queue == mSettings.mQueues.end() ? &aJob.mSpec.mPolicy : &queue->second;
+    // The limit may have been lowered while the record was being stored.
+    if (!IsUsable(worker->second, unit, aNow) || mLedger.IsOverLimit(aJob.mSpec.mOrganisation)) {
+      unusable.emplace_back(id, workerId);
+      continue;
+    }
+    run->second.mPhase = run_phase::kStarting;
+    run->second.mPhaseSince = aNow;
+    run->second.mStartedAt = aNow;
+    const bool resumes = unit.Spec().mCheckpoints;
+    mActions.emplace_back(start_run{ id, workerId, aJob.mSpec.mPayload,
+                                     resumes ? FindTask(id.mTask)->mCheckpoint : std::string(),
+                                     entry.mAdvice[workerId].mTicket });
+    EmitEvent(work_event_kind::kStarted, aJob.mSpec.mId, ToString(id.mTask), workerId,
+              fmt::format("run {}", id.mRun),
+              std::chrono::duration_cast<milliseconds>(aNow - worker->second.mClockReadAt));
   }
-  for (const auto& [worker, run] : unusable) {
+  aJob.mRecordingRuns.insert(aJob.mRecordingRuns.begin(), unrecorded.begin(), unrecorded.end());
+  for (const auto& [run, worker] : unusable) {
     StopOtherGangMembers(run, aNow);
     StopRun(mWorkers[worker], run,
             "the worker became unusable, or a limit was lowered, before the start order was sent",
@@ -299,11 +307,14 @@
 
 void work_core::state::AdvanceAcknowledged(worker_entry& aWorker)
 {
-  std::erase_if(aWorker.mPendingEnds, [&](const auto& aPending) {
-    const auto& [jobId, change] = aPending.second;
-    const job_entry* job = FindJob(jobId);
-    return job == nullptr || job->mChangeStored >= change;
-  });
+  const auto isStored = [&](const auto& aPending) {
+    const auto& [task, change] = aPending.second;
+    const job_entry* job = FindJob(task.mJob);
+    return job == nullptr || job->IsStored(task, change);
+  };
+  while (!aWorker.mPendingEnds.empty() && isStored(*aWorker.mPendingEnds.begin())) {
+    aWorker.mPendingEnds.erase(aWorker.mPendingEnds.begin());
+  }
   const std::int64_t through =
     aWorker.mPendingEnds.empty() ? aWorker.mLastSeenEnd : aWorker.mPendingEnds.begin()->first - 1;
   if (through > aWorker.mAcknowledged) {
@@ -335,9 +346,25 @@
   }
 }
 
+void work_core::state::RetryRefusedJobs(instant aNow)
+{
+  std::erase_if(mRefusedJobs, [&](const std::string& aId) {
+    job_entry* job = FindJob(aId);
+    if (job != nullptr && job->mRefusedUntil && aNow < *job->mRefusedUntil) {
+      return false;
+    }
+    if (job != nullptr) {
+      job->mRefusedUntil.reset();
+      mReplan = true;
+    }
+    return true;
+  });
+}
+
 void work_core::state::HandleTimeouts(instant aNow)
 {
   ExpireInterference(aNow);
+  RetryRefusedJobs(aNow);
   for (auto& [id, worker] : mWorkers) {
     if (!worker.mReachable) {
       HandleExpiredLeases(id, worker, aNow);
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -110,7 +110,7 @@
 {
   std::vector<ready_unit> units;
   for (auto& [id, job] : mJobs) {
-    if (job.IsFinished()) {
+    if (job.IsFinished() || job.mRefusedUntil) {
       continue;
     }
     const work_queue& queue = QueueOf(mSettings, job);
@@ -249,12 +249,13 @@
     ConvertClaims(unit, aNow);
   }
   const auto order = MakeUnitOrder(units, mLedger, TotalCapacity());
+  start_budget starts = MakeStartBudget(units);
   gang_reservations reservations(aNow);
   limit_holds limitHolds(aNow);
   while (ready_unit* unit = order->Next()) {
     const bool isHeldBack = limitHolds.HoldsBack(*unit);
     if (!isHeldBack) {
-      PlaceOrEvict(*unit, reservations, aNow);
+      PlaceOrEvict(*unit, reservations, starts, aNow);
     }
     RecordIdleWait(*unit, reservations, isHeldBack, aNow);
     if (const auto startsAt = isHeldBack ? std::nullopt : LimitRoomForGang(*unit, aNow)) {
@@ -264,8 +265,31 @@
   mReservedRacks = reservations.Racks();
 }
 
+// The runs are counted only where the number of waiting tasks calls for a bound.
+start_budget work_core::state::MakeStartBudget(const std::vector<ready_unit>& aUnits) const
+{
+  int waiting = 0;
+  int units = 0;
+  for (const ready_unit& each : aUnits) {
+    const int tasks = each.Entry().InPhase(task_phase::kWaiting);
+    waiting += tasks;
+    units += tasks > 0 ? 1 : 0;
+  }
+  if (waiting <= start_budget::kUnboundedTasks) {
+    return start_budget(0, waiting, units);
+  }
+  int inFlight = 0;
+  for (const worker_entry& worker : mWorkers | std::views::values) {
+    inFlight += static_cast<int>(std::ranges::count_if(worker.mRuns, [](const auto& aRun) {
+      const run_phase phase = aRun.second.mPhase;
+      return phase == run_phase::kRecording || phase == run_phase::kStarting;
+    }));
+  }
+  return start_budget(inFlight, waiting, units);
+}
+
 void work_core::state::PlaceOrEvict(ready_unit& aUnit, gang_reservations& aReservations,
-                                    instant aNow)
+                                    start_budget& aStarts, instant aNow)
 {
   const std::vector<int> waiting = WaitingTasks(aUnit);
   const bool endsPending = aUnit.Spec().mGang && waiting.size() != aUnit.Entry().mTasks.size();
@@ -273,19 +297,23 @@
     return;
   }
   const bool urgent = aUnit.mQueue->mPriority == 0;
-  const std::vector<int> allowed = TasksWithinLimit(aUnit);
+  std::vector<int> allowed = TasksWithinLimit(aUnit);
   RecordLimitWait(aUnit, allowed.size() < waiting.size());
   if (allowed.size() < waiting.size() && urgent) {
     StopOwnWorkForLimit(aUnit, aNow);
   }
+  const int budget = aStarts.Allowed(static_cast<int>(allowed.size()), aUnit.Spec().mGang, urgent);
+  allowed.resize(static_cast<std::size_t>(budget));
   if (allowed.empty()) {
     return;
   }
+  aStarts.Take(budget);
   std::string reserved;
   const bool mayStopOthers = urgent || aUnit.Spec().mLongRunning;
   const bool isPlaced = PlaceUnit(aUnit, allowed, aReservations, aNow);
   if (!isPlaced && mayStopOthers) {
-    const std::vector<int> unplaced = TasksWithinLimit(aUnit);
+    std::vector<int> unplaced = TasksWithinLimit(aUnit);
+    unplaced.resize(std::min(unplaced.size(), static_cast<std::size_t>(budget)));
     if (!unplaced.empty()) {
       PlaceByEviction(aUnit, unplaced, aNow);
     }
@@ -395,6 +423,9 @@
     run.mFromStart = !spec.mCheckpoints || task.mCheckpoint.empty();
     run.mPace = run.mFromStart ? run_pace(aNow) : run_pace();
     run.mEarlierStalls = task.mStalls;
+    MarkPartChanged(*aUnit.mJob, aUnit.Task(index));
+    aUnit.mJob->mRecordingRuns.emplace_back(run_id{ aUnit.Task(index), task.mRun },
+                                            worker->mInfo.mId);
     AddRun(*worker, { aUnit.Task(index), task.mRun }, std::move(run), *aUnit.mJob);
   }
 }
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -6,6 +6,7 @@
 #include "queue_order.h"
 #include "run_pace.h"
 #include "run_time_estimates.h"
+#include "start_budget.h"
 #include "wait_record.h"
 #include "worker_presence.h"
 #include "worker_rates.h"
@@ -54,6 +55,8 @@
   std::string mWorker; ///< of the claim or of the live run
   int mFailures = 0;   ///< failed runs; a gang's failed run counts for one of its members only
   int mStalls = 0;     ///< runs that were stopped as stalled, perhaps in error
+  /// Gang only: the last failed run that was counted as a failure of this member.
+  run_number mCountedFailure = 0;
   std::string mCheckpoint;
   std::set<std::string> mFailedOn; ///< workers on which a run of the task failed
 };
@@ -133,6 +136,16 @@
 
 bool ArePredecessorsDone(const occurrence_entry& aOccurrence, const work_step& aStep);
 
+/// What is known of a stored part of a job's record. Changes are numbered as those of the job.
+struct part_entry
+{
+  std::int64_t mChange = 0;
+  std::int64_t mChangeWriting = 0; ///< in the write in flight; 0: not in it
+  std::int64_t mChangeStored = 0;
+  bool mIsStored = false;  ///< the part is, or may be, in the store
+  bool mIsDeleted = false; ///< by the write in flight
+};
+
 /// Numbers of occurrences. They finish nearly in order, so that few intervals hold any number.
 using occurrence_set = boost::icl::interval_set<int, std::less, boost::icl::closed_interval<int>>;
 
@@ -145,9 +158,9 @@
   instant mFinishedAt;
   std::string mReason;                     ///< why the job failed or was cancelled
   std::set<std::string> mPenalisedWorkers; ///< workers quarantined for failures of the job
-  /// Runs that the job no longer needs and whose ends are not known, with their workers. Stored, so
+  /// Runs that the job no longer needs and whose ends are not known, by their workers. Stored, so
   /// that the next leader counts them against the organisation's limit.
-  std::vector<std::pair<run_id, std::string>> mStoppingRuns;
+  std::set<std::pair<std::string, run_id>> mStoppingRuns;
   int mEvictions = 0;          ///< how often runs of the job were stopped for other jobs
   bool mWaitsForLimit = false; ///< its organisation's limit held tasks back in the last pass
   std::map<int, occurrence_entry> mOccurrences; ///< those that are open, by number
@@ -159,11 +172,27 @@
   store_revision mRevision = 0;         ///< of the stored progress record
   std::int64_t mChange = 0;             ///< number of changes to the record
   std::int64_t mChangeWriting = 0;      ///< last change in the write in flight; 0: none in flight
-  std::int64_t mChangeStored = 0;       ///< last change that is stored
+  std::int64_t mChangeStored = 0;       ///< last change that is stored, the parts aside
+  bool mIsInParts = false;              ///< the rows of its tasks are in parts of the record
+  std::map<std::int64_t, part_entry> mParts;
+  std::set<std::int64_t> mChangedParts; ///< to be written; in order, so that earlier steps go first
+  /// Runs that were placed and whose start orders have not been sent, with their workers.
+  std::vector<std::pair<run_id, std::string>> mRecordingRuns;
+  /// Since the store refused the record: no write and no placement before this time.
+  std::optional<instant> mRefusedUntil;
+  milliseconds mRefusedPause{ 0 };
 
   bool IsFinished() const { return IsFinal(mState); }
   int TotalOccurrences() const { return std::max(mSpec.mOccurrences, 1); }
-  bool NeedsWrite() const { return mChange > mChangeStored && mChangeWriting == 0; }
+  bool NeedsWrite() const
+  {
+    const bool partsChanged = !mChangedParts.empty() && !IsFinished();
+    return (mChange > mChangeStored || partsChanged) && mChangeWriting == 0 && !mRefusedUntil;
+  }
+  /// The last change that concerns the task's row.
+  std::int64_t LastChange(const task_id& aTask) const;
+  /// Whether the change of the task's row is stored. Of a finished job no rows are stored.
+  bool IsStored(const task_id& aTask, std::int64_t aChange) const;
 };
 
 enum class run_phase : std::uint8_t
@@ -240,8 +269,9 @@
   task_demand mUsed;              ///< by all runs
   task_demand mUsedByLongRunning; ///< by long-running runs, which end only when they are stopped
   task_demand mClaimed;           ///< by tasks in kClaimed
-  /// Ends, by number, whose record is not stored yet: the job and the change that contains the end.
-  std::map<std::int64_t, std::pair<std::string, std::int64_t>> mPendingEnds;
+  /// Ends, by number, whose record is not stored yet: the task and the change that contains the
+  /// end.
+  std::map<std::int64_t, std::pair<task_id, std::int64_t>> mPendingEnds;
   std::int64_t mAcknowledged = 0; ///< the worker may drop its records of ends up to this number
   std::int64_t mLastSeenEnd = 0;
   bool mAckDue = false; ///< mAcknowledged has risen since the last poll
@@ -342,6 +372,8 @@
   std::vector<task_demand> mWithoutRoom; ///< no worker has room for these, in the present pass
   std::map<wait_reason, int> mIdleWaits; ///< number of steps, as of the last pass
   int mIdleWaitChecks = 0;               ///< in the present pass
+  std::set<std::string> mRefusedJobs;    ///< with mRefusedUntil set
+  std::string mLastWritten;              ///< job of the last record that TakeWrites has returned
   std::size_t mReservedRacks = 0;        ///< in the last pass
 
   // work_jobs.cpp
@@ -360,6 +392,11 @@
   /// Returns null for a number that the job does not have, or that is finished.
   occurrence_entry* OpenOccurrence(job_entry& aJob, int aNumber);
   void MarkChanged(job_entry& aJob);
+  /// Marks the part with the task's row as changed by the job's last change.
+  static void MarkPartChanged(job_entry& aJob, const task_id& aTask);
+  void MarkStepChanged(job_entry& aJob, const task_id& aTask);
+  void RestoreParts(job_entry& aJob, const stored_job& aStored, instant aNow);
+  void RestoreGangEnds(job_entry& aJob);
   void FinishJob(job_entry& aJob, work_state aState, const std::string& aReason, instant aNow);
   void FinishJobIfDone(job_entry& aJob, instant aNow);
   task_entry* FindTask(const task_id& aTask);
@@ -384,6 +421,7 @@
   void AdvanceAcknowledged(worker_entry& aWorker);
   void HandleExpiredLeases(const std::string& aId, worker_entry& aWorker, instant aNow);
   void HandleTimeouts(instant aNow);
+  void RetryRefusedJobs(instant aNow);
   void EmitEvent(work_event_kind aKind, const std::string& aJob, std::string aTask,
                  std::string aWorker, std::string_view aReason,
                  milliseconds aAge = milliseconds{ 0 });
@@ -501,7 +539,9 @@
   /// Until when other work of the unit's organisation is held back for the unit; nullopt: it is
   /// not.
   std::optional<instant> HeldLimitUntil(const ready_unit& aUnit, instant aNow);
-  void PlaceOrEvict(ready_unit& aUnit, gang_reservations& aReservations, instant aNow);
+  start_budget MakeStartBudget(const std::vector<ready_unit>& aUnits) const;
+  void PlaceOrEvict(ready_unit& aUnit, gang_reservations& aReservations, start_budget& aStarts,
+                    instant aNow);
   std::vector<worker_entry*> UsableWorkers(const ready_unit& aUnit, instant aNow);
   task_demand TotalCapacity() const;
   std::vector<ready_unit> ReadyUnits(instant aNow);
