Callers: a cancellation takes its id also when the job is not stored yet; late requests are not begun

Cause: a cancellation that found no record left nothing that would keep a later submission from being stored.

The leader takes a job beside such a key for cancelled, for hosts of the former version. A request whose client has closed the connection is not begun; deadlines count from when a request may have arrived, also where the process stood still (pause_tracker, by the boot clock).

Ruled out: the leader and the store, which were in touch all the while.

--- a/src/include/briarwind/http.h
+++ b/src/include/briarwind/http.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "briarwind/error.h"
+#include "briarwind/time.h"
 
 #include <functional>
 #include <optional>
@@ -42,6 +43,8 @@
   std::string mTarget = "/";
   http_headers mHeaders;
   std::string mBody;
+  /// Server only: time from when the request may have arrived until its handler is called.
+  milliseconds mWaited{ 0 };
 };
 
 /// Writes the body of a response with chunked transfer encoding; each piece is sent at once.
--- a/src/include/briarwind/http_server.h
+++ b/src/include/briarwind/http_server.h
@@ -30,6 +30,8 @@
   /// Bytes that are read and not answered, or not written yet; may be shared by several servers.
   /// Without a budget only the limits of each connection apply.
   std::shared_ptr<byte_budget> mBudget;
+  /// When set, returns how long input that is read now may have waited unread, see pause_tracker.
+  std::function<duration()> mUnreadFor;
 };
 
 /// Returns the response to a request. Runs in the fiber of the connection and may suspend it.
@@ -49,6 +51,7 @@
   kCutOffOverBudget, ///< closed to free bytes of the budget; a request cut off has not run
   kWriteTimeout,     ///< the client does not read the response
   kDisplaced,        ///< closed without a complete request, in favour of a new connection
+  kClientLeft,       ///< the client had closed the connection; its request has not run
 };
 
 std::string_view ToString(http_server_refusal aRefusal);
--- a/src/libcontrol/caller_service.cpp
+++ b/src/libcontrol/caller_service.cpp
@@ -163,7 +163,15 @@
       RecordRefusal(aJob, aAnswer.mReason);
       return;
     case intake_outcome::kUnknownJob:
-      RecordRefusal(aJob, "unknown job");
+      if (!aAnswer.mReason.empty()) {
+        RecordRefusal(aJob, aAnswer.mReason);
+        return;
+      }
+      mMetrics.Count(kCallerCalls, "cancel without a job");
+      LogEvent(kJobCancelledEarly, { Field("job", aJob), time, settings });
+      return;
+    case intake_outcome::kCancelled:
+      RecordRefusal(aJob, "cancelled before");
       return;
     case intake_outcome::kOverLimit:
       RecordRefusal(aJob, "over the organisation's limit");
--- a/src/libcontrol/control_events.h
+++ b/src/libcontrol/control_events.h
@@ -204,6 +204,11 @@
   "The store could not be read; the caller got the job's state from the leader, which the store "
   "had last confirmed `age_ms` before."
 };
+inline constexpr event_kind kJobCancelledEarly{
+  6206, log_level::kInfo, "caller.cancelled-early",
+  "A cancellation found no job and was answered so; for a minute or two, no job is accepted under "
+  "its id, in case the submission is still on its way."
+};
 inline constexpr event_kind kSettingsInForce{
   6301, log_level::kInfo, "operator.settings",
   "A new version of the operators' configuration is in force on this host. It came by `via`; "
@@ -377,6 +382,10 @@
   metric_type::kGauge, "briarwind_node_http_budget_bytes", "",
   "Limit on the bytes of requests and responses that all servers of the process hold."
 };
+inline constexpr metric_kind kEarlyCancellations{
+  metric_type::kCounter, "briarwind_node_early_cancellations_total", "outcome",
+  "Cancellations of ids without a job: written to the store, or found there."
+};
 inline constexpr metric_kind kCallerTime{ metric_type::kSummary, "briarwind_node_caller_seconds",
                                           "call", "Time to answer a caller, by kind of call." };
 inline constexpr metric_kind kPeerCalls{ metric_type::kCounter, "briarwind_node_peer_calls_total",
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -8,6 +8,7 @@
 
 #include "briarwind/http_server.h"
 #include "briarwind/json_fields.h"
+#include "briarwind/pause_tracker.h"
 
 #include <boost/json.hpp>
 
@@ -82,7 +83,10 @@
                     [this] { mDriver.LeaveTerm(); },
                     [this](std::int64_t aEpoch) { mDriver.ContinueTerm(aEpoch); } })
     , mPeerPool(aRuntime)
-    , mServerLimits(MakeServerLimits(aSettings, [this] { return mCallerService.MaxBodyBytes(); }))
+    , mPauses(BootNow())
+    , mServerLimits(MakeServerLimits(
+        aSettings, [this] { return mCallerService.MaxBodyBytes(); },
+        [this] { return mPauses.UnreadFor(BootNow()); }))
     , mPeerServer(
         aRuntime, aSettings.mPeers,
         [this](const http_request& aRequest) { return AnswerPeer(aRequest); }, mServerLimits.mPeers)
@@ -116,6 +120,7 @@
     mSettingsView.Start();
     mLeadership.Start();
     mRuntime.Spawn([this] { ReloadPeriodically(); });
+    mRuntime.Spawn([this] { TickLoop(); });
   }
 
   // Counts connections and requests that aServer refused, and logs handlers that failed.
@@ -154,6 +159,14 @@
     }
   }
 
+  void TickLoop()
+  {
+    while (true) {
+      SleepFor(pause_tracker::kTickInterval);
+      mPauses.OnTick(BootNow());
+    }
+  }
+
   bool IsReady() const { return !mStopping && mSettingsView.Settings().mVersion > 0; }
 
   void LogReadinessChange()
@@ -340,6 +353,7 @@
   leadership mLeadership;
   http_pool mPeerPool;
   std::map<std::pair<std::string_view, http_server_refusal>, refusal_log> mRefusalLogs;
+  pause_tracker mPauses;
   const server_limits mServerLimits;
   http_server mPeerServer;
   http_server mReadinessServer;
--- a/src/libcontrol/server_limits.cpp
+++ b/src/libcontrol/server_limits.cpp
@@ -28,12 +28,14 @@
 } // namespace
 
 server_limits MakeServerLimits(const node_settings& aSettings,
-                               std::function<std::size_t()> aMaxBodyBytes)
+                               std::function<std::size_t()> aMaxBodyBytes,
+                               std::function<duration()> aUnreadFor)
 {
   const auto budget = std::make_shared<byte_budget>(BudgetOfMemory(aSettings.mMemoryMb << 20U));
   http_server_limits common;
   common.mBudget = budget;
   common.mWriteTimeout = kWriteTimeout;
+  common.mUnreadFor = std::move(aUnreadFor);
 
   // 19 of 32 parts of the descriptors are for clients. The rest is for files and for the calls to
   // the store and the workers: 1,667 of 4,100, of which 1,200 are for as many workers.
--- a/src/libcontrol/server_limits.h
+++ b/src/libcontrol/server_limits.h
@@ -15,8 +15,10 @@
   http_server_limits mPeers;
 };
 
-// aMaxBodyBytes returns the limit on a caller's body that is in force.
+// aMaxBodyBytes returns the limit on a caller's body that is in force; aUnreadFor is that of
+// http_server_limits.
 server_limits MakeServerLimits(const node_settings& aSettings,
-                               std::function<std::size_t()> aMaxBodyBytes);
+                               std::function<std::size_t()> aMaxBodyBytes,
+                               std::function<duration()> aUnreadFor);
 
 } // namespace briarwind
--- a/src/libcontrol/work_driver.cpp
+++ b/src/libcontrol/work_driver.cpp
@@ -50,6 +50,18 @@
            { Field("key", aValue.mKey), Field("revision", aValue.mModified) });
 }
 
+bool IsCancellation(std::string_view aKey)
+{
+  return aKey.ends_with(work_keys::kCancelSuffix);
+}
+
+std::string_view JobOfCancellation(std::string_view aKey)
+{
+  aKey.remove_prefix(work_keys::kAccepted.size());
+  aKey.remove_suffix(work_keys::kCancelSuffix.size());
+  return aKey;
+}
+
 wall_time WallNow()
 {
   return std::chrono::system_clock::now();
@@ -130,6 +142,7 @@
 {
   mLeadership = nullptr;
   mHasTakenOver = false;
+  mCancelledIds.clear();
   mCore.EndTerm();
 }
 
@@ -190,12 +203,13 @@
   const instant now = monotonic_clock::now();
   mCore.BeginTerm(epoch, now);
   mCore.SetSettings(mSettings, now);
+  ReadCancelledIds(accepted.value());
   std::map<std::string_view, stored_progress> records;
   for (const stored_value& each : progress.value().mValues) {
     AddStoredProgress(each, records);
   }
   for (const stored_value& each : accepted.value().mValues) {
-    if (each.mKey.ends_with(work_keys::kCancelSuffix)) {
+    if (IsCancellation(each.mKey)) {
       continue;
     }
     const auto job = ToIoResult([&] { return ParseWorkJob(each.mValue); });
@@ -204,7 +218,9 @@
                { Field("key", each.mKey), Field("revision", each.mModified) });
       continue;
     }
-    stored_job stored{ job.value(), false, {}, 0, each.mModified };
+    stored_job stored{
+      job.value(), mCancelledIds.contains(job.value().mId), {}, 0, each.mModified
+    };
     if (const auto record = records.find(job.value().mId); record != records.end()) {
       stored.mProgressParts = std::move(record->second.mParts);
       if (const stored_value* main = record->second.mMain; main != nullptr) {
@@ -220,8 +236,20 @@
   return true;
 }
 
+// Cancellations are listed behind the jobs that they concern.
+void work_driver::ReadCancelledIds(const store_listing& aListing)
+{
+  mCancelledIds.clear();
+  for (const stored_value& each : aListing.mValues) {
+    if (each.mValue == work_keys::kCancelledEarly && IsCancellation(each.mKey)) {
+      mCancelledIds.emplace(JobOfCancellation(each.mKey));
+    }
+  }
+}
+
 void work_driver::OnAcceptedListed(const store_listing& aListing)
 {
+  ReadCancelledIds(aListing);
   std::ranges::for_each(aListing.mValues,
                         [this](const stored_value& aValue) { AddAccepted(aValue); });
   mCore.SetFollowedRevision(aListing.mRevision);
@@ -234,6 +262,8 @@
   for (const store_change& each : aChanges) {
     if (!each.mDeleted) {
       AddAccepted(each.mValue);
+    } else if (IsCancellation(each.mValue.mKey)) {
+      mCancelledIds.erase(std::string(JobOfCancellation(each.mValue.mKey)));
     }
     followed = std::max(followed, each.mValue.mModified);
   }
@@ -253,12 +283,11 @@
 
 void work_driver::AddAccepted(const stored_value& aValue)
 {
-  std::string_view name = std::string_view(aValue.mKey).substr(work_keys::kAccepted.size());
-  if (name.ends_with(work_keys::kCancelSuffix)) {
-    name.remove_suffix(work_keys::kCancelSuffix.size());
-    CancelAccepted(std::string(name), aValue.mModified);
+  if (IsCancellation(aValue.mKey)) {
+    CancelAccepted(std::string(JobOfCancellation(aValue.mKey)), aValue);
     return;
   }
+  const std::string_view name = std::string_view(aValue.mKey).substr(work_keys::kAccepted.size());
   if (!mCore.IsNewJob(std::string(name), aValue.mModified)) {
     return;
   }
@@ -268,14 +297,21 @@
              { Field("key", aValue.mKey), Field("revision", aValue.mModified) });
     return;
   }
-  mCore.AddJob({ job.value(), false, {}, 0, aValue.mModified }, monotonic_clock::now(), WallNow());
+  mCore.AddJob({ job.value(), mCancelledIds.contains(name), {}, 0, aValue.mModified },
+               monotonic_clock::now(), WallNow());
 }
 
-// A cancellation older than the job is of an earlier job with the same id.
-void work_driver::CancelAccepted(const std::string& aJob, store_revision aCancelled)
+// A cancellation of a job that is older than the job is of an earlier one with the same id. One
+// that found no job concerns any that a host of the former version accepts later.
+void work_driver::CancelAccepted(const std::string& aJob, const stored_value& aCancellation)
 {
+  const bool early = aCancellation.mValue == work_keys::kCancelledEarly;
+  if (early) {
+    mCancelledIds.insert(aJob);
+  }
   const auto accepted = mCore.AcceptedRevision(aJob);
-  if (accepted && (aCancelled == 0 || aCancelled > *accepted)) {
+  const store_revision cancelled = aCancellation.mModified;
+  if (accepted && (early || cancelled == 0 || cancelled > *accepted)) {
     mCore.CancelJob(aJob, monotonic_clock::now());
   }
 }
--- a/src/libcontrol/work_driver.h
+++ b/src/libcontrol/work_driver.h
@@ -21,6 +21,8 @@
 inline constexpr std::string_view kProgress =
   "briarwind/progress/"; ///< progress, written by the leader only
 inline constexpr std::string_view kCancelSuffix = "/cancel";
+/// Value of a cancellation that found no job: its id is taken until the key's lease ends.
+inline constexpr std::string_view kCancelledEarly = "no job yet";
 std::string Accepted(std::string_view aJob);
 std::string Cancel(std::string_view aJob);
 std::string Progress(std::string_view aJob);
@@ -76,7 +78,8 @@
   void OnAcceptedListed(const store_listing& aListing);
   void OnAcceptedChanged(const std::vector<store_change>& aChanges);
   void AddAccepted(const stored_value& aValue);
-  void CancelAccepted(const std::string& aJob, store_revision aCancelled);
+  void CancelAccepted(const std::string& aJob, const stored_value& aCancellation);
+  void ReadCancelledIds(const store_listing& aListing);
   void RefreshWorkers(int aTerm);
   void RoundLoop(int aTerm);
   void ReportGauges();
@@ -142,6 +145,8 @@
   const leadership* mLeadership = nullptr;
   int mTerm = 0; ///< number of this process's terms; one term may span several epochs
   std::function<void()> mOnSuperseded;
+  /// Ids whose cancellation found no job. Hosts of the former version accept jobs under them.
+  std::set<std::string, std::less<>> mCancelledIds;
   bool mHasTakenOver = false;
   bool mPaused = false;
   bool mRoundPending = false;
--- a/src/libcontrol/work_driver_test.cpp
+++ b/src/libcontrol/work_driver_test.cpp
@@ -405,3 +405,38 @@
   }));
   leader.mLeadership.Resign();
 }
+
+// Guards against a job that runs although its cancellation was answered, since a host of the former
+// version, which does not know that answer's key, accepts it later.
+BW_STORY("a job is accepted under an id whose cancellation found no job")
+{
+  auto& leader = *new test_leader;
+  leader.mStore.Put(work_keys::Cancel("a"), std::string(work_keys::kCancelledEarly));
+  const auto isCancelled = [&] {
+    const stored_value* record = leader.mStore.Find(work_keys::Progress("a"));
+    return record != nullptr && ProgressState(record->mValue) == work_state::kCancelled;
+  };
+  BW_SECTION("the leader that is there does not start it")
+  {
+    leader.mLeadership.Start();
+    BW_CHECK(leader.RunOnce("b"));
+    leader.Accept("a");
+    BW_CHECK(WaitFor(isCancelled));
+    BW_EQUAL(std::size_t{ 1 }, leader.mWorker.mStarts.size());
+  }
+  BW_SECTION("neither does the next one")
+  {
+    leader.Accept("a");
+    leader.mLeadership.Start();
+    BW_CHECK(WaitFor(isCancelled));
+    BW_CHECK(leader.mWorker.mStarts.empty());
+  }
+  BW_SECTION("once that key has ended, the id is free again")
+  {
+    leader.mLeadership.Start();
+    BW_CHECK(leader.RunOnce("b"));
+    leader.mStore.Remove(work_keys::Cancel("a"));
+    BW_CHECK(leader.RunOnce("a"));
+  }
+  leader.mLeadership.Resign();
+}
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -43,7 +43,7 @@
 
 std::string_view ToString(http_server_refusal aRefusal)
 {
-  static constexpr std::array<std::string_view, 11> kNames{
+  static constexpr std::array<std::string_view, 12> kNames{
     "too-many-connections",
     "body-too-large",
     "header-too-large",
@@ -55,6 +55,7 @@
     "cut-off-over-budget",
     "write-timeout",
     "displaced",
+    "client-left",
   };
   return kNames.at(static_cast<std::size_t>(aRefusal));
 }
--- a/src/libnet/http_session.cpp
+++ b/src/libnet/http_session.cpp
@@ -15,7 +15,10 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <cerrno>
 #include <exception>
 #include <memory>
 #include <optional>
@@ -334,7 +337,13 @@
   {
     const bool keepAlive = aParser.keep_alive();
     auto message = aParser.release();
+    // Nobody waits for the response any more, and the client may have turned to another host.
+    if (HasClientLeft()) {
+      mShared.NotifyRefusal(http_server_refusal::kClientLeft, mPeer);
+      return false;
+    }
     http_request request;
+    request.mWaited = std::chrono::floor<milliseconds>(BootNow() - mBegunAt + mUnreadFor);
     request.mMethod = std::string(message.method_string());
     request.mTarget = std::string(message.target());
     request.mHeaders = FromBeast(message);
@@ -351,6 +360,14 @@
     return Write(std::move(*response), keepAlive && !mShared.mStopping);
   }
 
+  bool HasClientLeft()
+  {
+    char next = 0;
+    const auto got =
+      ::recv(mStream.socket().native_handle(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno == ECONNRESET);
+  }
+
   // An exception in the handler ends only the connection of its request, not the server. The
   // connection is closed without a response, since no status says that the outcome is unknown.
   std::optional<http_response> CallHandler(const http_request& aRequest)
@@ -451,6 +468,8 @@
   {
     mBusy = true;
     mAnnounced = 0;
+    mBegunAt = BootNow();
+    mUnreadFor = mShared.mLimits.mUnreadFor ? mShared.mLimits.mUnreadFor() : duration(0);
     mHolder.mSince = mHolder.mLastProgress = monotonic_clock::now();
     mHolder.mIsClosable = true;
   }
@@ -489,6 +508,8 @@
   budget_holder mHolder;
   std::size_t mAnnounced = 0; // length of the body as announced in the header
   instant mFinishedAt;        // end of the last response, or when the connection was accepted
+  boot_instant mBegunAt;      // when the first byte of the request was read
+  duration mUnreadFor{ 0 };   // how long it may have waited before
   bool mBusy = false;
 };
 
--- a/src/libnet/http_session_test.cpp
+++ b/src/libnet/http_session_test.cpp
@@ -181,3 +181,29 @@
     BW_CHECK(server.mLimits.mBudget->Used() < 50'000);
   }
 }
+
+// Guards against a request that takes effect although its client has left and turned to another
+// host, since the process stood still meanwhile (review/12).
+BW_STORY("a process reads a request late")
+{
+  bounded_server server;
+  BW_SECTION("it does not run if the client has closed the connection")
+  {
+    {
+      // Connects, sends and closes while the server's fibers do not run.
+      asio::ip::tcp::socket socket(server.mRuntime.Context());
+      socket.connect(ToAsio(server.mServer.Listening()));
+      asio::write(socket, asio::buffer(std::string_view("GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+    }
+    SleepFor(milliseconds(100));
+    BW_EQUAL(0, server.mHandled);
+    BW_EQUAL(std::size_t{ 1 }, server.mRefusals.size());
+    BW_CHECK(server.mRefusals.front() == http_server_refusal::kClientLeft);
+  }
+  BW_SECTION("it runs if the client still waits")
+  {
+    BW_CHECK(server.Answer("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+               .starts_with("HTTP/1.1 200"));
+    BW_EQUAL(1, server.mHandled);
+  }
+}
