Starts: units of ordinary width keep their order; only placed tasks count against the bound

The bound on starts in flight took what a unit was allowed, not what was placed, so that gangs without room used it up for those behind them; and on a full pool the equal shares split up ordinary jobs that should start one after the other. Counting the open occurrences of a timed job for each one that opens was quadratic. A stored step without tasks would have divided by zero, and parts beside an unreadable main record would have stayed in the store.

Change: what was placed counts; units of up to 128 waiting tasks start as a whole, wider ones share. Occurrences are counted once a pass. Counts of stored steps are at least 1; such parts are rewritten. The half of an early cancellation's lease follows what the store granted.

--- a/src/libcontrol/job_intake.cpp
+++ b/src/libcontrol/job_intake.cpp
@@ -50,13 +50,13 @@
 
 store_lease early_cancellations::Lease(boot_instant aNow) const
 {
-  return aNow - mGrantedAt < kLeaseTime / 2 ? mLease : 0;
+  return aNow < mUseUntil ? mLease : 0;
 }
 
-void early_cancellations::SetLease(store_lease aLease, boot_instant aGranted)
+void early_cancellations::SetLease(const granted_lease& aLease, boot_instant aAsked)
 {
-  mLease = aLease;
-  mGrantedAt = aGranted;
+  mLease = aLease.mLease;
+  mUseUntil = aAsked + aLease.mTimeToLive / 2;
 }
 
 // An attempt without an answer may still take effect later. After one, the outcome is unknown until
@@ -201,7 +201,7 @@
   if (!granted) {
     return boost::outcome_v2::failure(granted.error());
   }
-  mEarly.SetLease(granted.value().mLease, asked);
+  mEarly.SetLease(granted.value(), asked);
   return granted.value().mLease;
 }
 
--- a/src/libcontrol/job_intake.h
+++ b/src/libcontrol/job_intake.h
@@ -43,14 +43,14 @@
   bool Admit(instant aNow);
   /// The lease for the next one; 0 when a new one is needed.
   store_lease Lease(boot_instant aNow) const;
-  void SetLease(store_lease aLease, boot_instant aGranted);
+  void SetLease(const granted_lease& aLease, boot_instant aAsked);
   void DropLease() { mLease = 0; }
 
 private:
   double mTokens = kBurst;
   instant mRefilledAt;
   store_lease mLease = 0;
-  boot_instant mGrantedAt;
+  boot_instant mUseUntil;
 
   static constexpr double kBurst = 20;
   static constexpr double kPerSecond = 5;
--- a/src/libwork/record_parts_test.cpp
+++ b/src/libwork/record_parts_test.cpp
@@ -137,17 +137,24 @@
 // one change.
 BW_STORY("leaders change while a wide job runs")
 {
-  fleet_simulation fleet(4, 1);
-  fleet.Run(milliseconds(200));
-  fleet.mFaults.mWriteTime = milliseconds(40);
-  fleet.Submit(Job("a", "batch", { SmallStep(kWideTasks) }), milliseconds(200));
-  for (int i = 0; i < 5; ++i) {
-    fleet.Run(milliseconds(370));
-    fleet.ChangeLeader();
+  for (const std::uint64_t seed : { 1U, 2U, 3U, 4U }) {
+    fleet_simulation fleet(4, seed);
+    fleet.Run(milliseconds(200));
+    fleet.mFaults.mWriteTime = milliseconds(40);
+    fleet.mFaults.mLostAnswer = 0.01;
+    fleet.mFaults.mDelayedOrder = 0.01;
+    work_step second = SmallStep(kWideTasks / 2);
+    second.mAfter = { 0 };
+    fleet.Submit(Job("a", "batch", { SmallStep(kWideTasks / 2), second }), milliseconds(200));
+    for (int i = 0; i < 5; ++i) {
+      fleet.Run(milliseconds(370));
+      fleet.ChangeLeader();
+    }
+    fleet.mFaults = {};
+    fleet.Run(milliseconds(60'000));
+    BW_CHECK(fleet.StoredState("a") == work_state::kCompleted);
+    BW_CHECK(fleet.mViolations.empty());
   }
-  fleet.Run(milliseconds(60'000));
-  BW_CHECK(fleet.StoredState("a") == work_state::kCompleted);
-  BW_CHECK(fleet.mViolations.empty());
 }
 
 // Guards against a gang that waits for ever since only some of its members are stored as done, and
--- a/src/libwork/start_budget.cpp
+++ b/src/libwork/start_budget.cpp
@@ -14,14 +14,15 @@
 }
 
 // Urgent units have as much again to themselves, and take what they need: they come first. A gang
-// may exceed the budget once it has room for one task, since it could never start otherwise.
+// may exceed the budget once it has room for one task, since it could never start otherwise. Units
+// of ordinary width keep the order in which they come, whatever is waiting behind them.
 int start_budget::Allowed(int aTasks, bool aIsGang, bool aIsUrgent) const
 {
   const int limit = aIsUrgent ? 2 * kMaxInFlight : kMaxInFlight;
   if (mInFlight >= limit) {
     return 0;
   }
-  if (aIsGang) {
+  if (aIsGang || aTasks <= kOrdinaryTasks) {
     return aTasks;
   }
   return std::min({ aTasks, limit - mInFlight, aIsUrgent ? aTasks : mShare });
--- a/src/libwork/start_budget.h
+++ b/src/libwork/start_budget.h
@@ -13,14 +13,17 @@
   static constexpr int kMaxInFlight = 1'024;
   /// Passes with at most this many waiting tasks need no budget.
   static constexpr int kUnboundedTasks = 256;
+  /// Units with more waiting tasks than this are wide, and share the budget.
+  static constexpr int kOrdinaryTasks = 128;
 
   /// @param aWaiting tasks that wait, over all units of the pass
   /// @param aUnits number of units with waiting tasks
   start_budget(int aInFlight, int aWaiting, int aUnits);
 
-  /// How many of a unit's waiting tasks may be placed. The units share the budget equally, so that
-  /// none waits until the one before it has started all its tasks. Of a gang all or none.
+  /// How many of a unit's waiting tasks may be placed. Wide units have equal shares, so that none
+  /// waits until the one before it has started all its tasks. Of a gang all or none.
   int Allowed(int aTasks, bool aIsGang, bool aIsUrgent) const;
+  /// Tasks of a unit were placed.
   void Take(int aTasks) { mInFlight += aTasks; }
 
 private:
--- a/src/libwork/start_budget_test.cpp
+++ b/src/libwork/start_budget_test.cpp
@@ -29,6 +29,12 @@
       BW_EQUAL(128, budget.Allowed(128, true, true));
     }
   }
+  BW_SECTION("a unit of ordinary width starts all its tasks before those behind it")
+  {
+    const start_budget budget(900, 5'000, 200);
+    BW_EQUAL(100, budget.Allowed(100, false, false));
+    BW_EQUAL(1, budget.Allowed(129, false, false));
+  }
   BW_SECTION("a gang starts as a whole or not at all")
   {
     const start_budget budget(1'000, 160'000, 5);
--- a/src/libwork/work_jobs.cpp
+++ b/src/libwork/work_jobs.cpp
@@ -13,22 +13,21 @@
 
 // An occurrence opens only while fewer than this many of its job wait for workers: those behind
 // them could not start either, and each costs memory and a part of every placement pass.
-constexpr int kMaxWaitingOccurrences = 64;
+constexpr std::int64_t kMaxWaitingOccurrences = 64;
 // Tasks of the occurrences that one decision opens over all jobs; the next ones follow with the
 // next decision.
 constexpr int kMaxTasksOpenedAtOnce = 4'096;
 
-// Whether one more occurrence may be open. The first one always may.
-bool MayOpenMore(const job_entry& aJob, std::int64_t aTasks)
+// How many more occurrences may be open. The first one always may.
+std::int64_t CountOpenable(const job_entry& aJob, std::int64_t aTasks)
 {
   const auto open = static_cast<std::int64_t>(aJob.mOccurrences.size());
-  if (open == 0) {
-    return true;
-  }
   const auto waiting = std::ranges::count_if(
     aJob.mOccurrences | std::views::values,
     [&](const occurrence_entry& aEach) { return aEach.WaitsForWorkers(aJob.mSpec); });
-  return waiting < kMaxWaitingOccurrences && (open + 1) * aTasks <= kMaxOpenTasks;
+  const std::int64_t more =
+    std::min(kMaxWaitingOccurrences - waiting, kMaxOpenTasks / aTasks - open);
+  return std::max(more, std::int64_t{ open == 0 });
 }
 
 } // namespace
@@ -158,6 +157,7 @@
   const std::int64_t tasks = TasksPerOccurrence(aJob.mSpec);
   int& next = aJob.mNextOccurrence;
   std::int64_t opened = 0;
+  std::optional<std::int64_t> openable;
   bool isBehind = false;
   while (next < aJob.TotalOccurrences() && !aJob.IsFinished()) {
     if (const auto finished = aJob.mFinishedOccurrences.find(next);
@@ -171,11 +171,15 @@
     }
     const bool due =
       !timed || SaturatingAdvance(aJob.mSpec.mFirstDue, next, aJob.mSpec.mInterval) <= now;
-    isBehind = due && (opened >= aMaxTasks || !MayOpenMore(aJob, tasks));
+    if (due && !openable) {
+      openable = CountOpenable(aJob, tasks);
+    }
+    isBehind = due && (opened >= aMaxTasks || *openable <= 0);
     if (!due || isBehind) {
       break;
     }
     OpenOccurrence(aJob, next++);
+    --*openable;
     opened += tasks;
     mReplan = true;
   }
@@ -210,6 +214,10 @@
   if (!read) {
     EmitEvent(work_event_kind::kLost, aJob.mSpec.mId, {}, {},
               "the stored progress record is unreadable; the job starts from the beginning");
+    for (const record_part& each : aStored.mProgressParts) {
+      aJob.mParts[each.mNumber].mIsStored = true;
+      aJob.mChangedParts.insert(each.mNumber);
+    }
     return;
   }
   const progress_record& record = read.value();
--- a/src/libwork/work_record.cpp
+++ b/src/libwork/work_record.cpp
@@ -322,7 +322,7 @@
 work_step ReadStep(const json::object& aObject)
 {
   work_step step;
-  step.mCount = static_cast<int>(NumberField(aObject, "count", 1));
+  step.mCount = std::max(IntField(aObject, "count", 1), 1);
   step.mDemand = { static_cast<int>(NumberField(aObject, "accelerators")),
                    NumberField(aObject, "milli_cores"), NumberField(aObject, "memory_mb") };
   step.mEstimate = ReadDeclaredTime(aObject, "estimate_ms");
--- a/src/libwork/work_schedule.cpp
+++ b/src/libwork/work_schedule.cpp
@@ -307,7 +307,7 @@
   if (allowed.empty()) {
     return;
   }
-  aStarts.Take(budget);
+  const int before = aUnit.Entry().InPhase(task_phase::kWaiting);
   std::string reserved;
   const bool mayStopOthers = urgent || aUnit.Spec().mLongRunning;
   const bool isPlaced = PlaceUnit(aUnit, allowed, aReservations, aNow);
@@ -320,6 +320,7 @@
   } else if (!isPlaced && mOptions.mParts.mReservations && NeedsReservation(aUnit, aNow)) {
     reserved = ReserveRack(aUnit, aReservations, aNow);
   }
+  aStarts.Take(before - aUnit.Entry().InPhase(task_phase::kWaiting));
   RecordReservation(aUnit, reserved, aNow);
 }
 
