Record parts: a job counts at least one task

Cause: the linter found that a job without steps would divide by zero where a part is formatted; decoding refuses such jobs, but the function did not say so. Change: the number of tasks is at least 1.

--- a/src/libwork/record_parts.cpp
+++ b/src/libwork/record_parts.cpp
@@ -11,9 +11,10 @@
 
 std::int64_t TasksPerOccurrence(const work_job& aJob)
 {
-  return std::accumulate(
-    aJob.mSteps.begin(), aJob.mSteps.end(), std::int64_t{ 0 },
-    [](std::int64_t aSum, const work_step& aStep) { return aSum + aStep.mCount; });
+  const std::int64_t tasks =
+    std::accumulate(aJob.mSteps.begin(), aJob.mSteps.end(), std::int64_t{ 0 },
+                    [](std::int64_t aSum, const work_step& aStep) { return aSum + aStep.mCount; });
+  return tasks > 0 ? tasks : 1;
 }
 
 bool IsInParts(const work_job& aJob)
--- a/src/libwork/record_parts.h
+++ b/src/libwork/record_parts.h
@@ -18,7 +18,7 @@
 /// whole fleet runs.
 inline constexpr std::int64_t kMaxOpenTasks = 32'000;
 
-/// Tasks of one occurrence.
+/// Tasks of one occurrence, at least 1.
 std::int64_t TasksPerOccurrence(const work_job& aJob);
 /// Whether the progress record of the job is kept in parts. Depends on the accepted job alone.
 bool IsInParts(const work_job& aJob);
