Sources: writes of the core and accepted jobs of the driver in files of their own

Change: TakeWrites, what follows a write and refused jobs are in work_writes.cpp; takeover and the following of accepted jobs are in work_driver_accepted.cpp. Functions are moved, not changed.

--- a/spec/intake.pml
+++ b/spec/intake.pml
@@ -32,7 +32,7 @@
  *                             earlier job, while hosts of the former version accept jobs.
  *   FAULT_MARK_ENDS_EARLY     the mark ends while a write may still be carried out.
  *
- * Implemented by: src/libcontrol/job_intake.cpp, src/libcontrol/work_driver.cpp (leader).
+ * Implemented by: src/libcontrol/job_intake.cpp, src/libcontrol/work_driver_accepted.cpp (leader).
  */
 
 #if defined(CLEAN_FORMER_HOSTS) || defined(FAULT_LEADER_IGNORES_MARK)
--- a/spec/parts.pml
+++ b/spec/parts.pml
@@ -26,9 +26,9 @@
  * Configurations
  *   CLEAN_THREE_LEADERS  one more leader, which finds what a late write has left; no worker is lost.
  *
- * Implemented by: src/libwork/record_parts.cpp (what a part holds), src/libwork/work_core.cpp
- * (TakeWrites, OnWritten), src/libwork/work_jobs.cpp (restore),
- * src/libcontrol/work_driver_records.cpp (transactions).
+ * Implemented by: src/libwork/record_parts.cpp (what a part holds), src/libwork/work_writes.cpp (what
+ * is written), src/libwork/work_jobs.cpp (restore), src/libcontrol/work_driver_records.cpp
+ * (transactions).
  */
 
 #define TASKS 2
--- a/src/libwork/work_runs.cpp
+++ b/src/libwork/work_runs.cpp
@@ -346,21 +346,6 @@
   }
 }
 
-void work_core::state::RetryRefusedJobs(instant aNow)
-{
-  std::erase_if(mRefusedJobs, [&](const std::string& aId) {
-    job_entry* job = FindJob(aId);
-    if (job != nullptr && job->mRefusedUntil && aNow < *job->mRefusedUntil) {
-      return false;
-    }
-    if (job != nullptr) {
-      job->mRefusedUntil.reset();
-      mReplan = true;
-    }
-    return true;
-  });
-}
-
 void work_core::state::HandleTimeouts(instant aNow)
 {
   ExpireInterference(aNow);
--- a/src/libwork/work_table.h
+++ b/src/libwork/work_table.h
@@ -404,6 +404,9 @@
   step_entry* FindStep(const task_id& aTask);
   const work_step* FindSpec(const task_id& aTask);
 
+  // work_writes.cpp
+  void RetryRefusedJobs(instant aNow);
+
   // work_runs.cpp
   void HandleRunEnd(worker_entry& aWorker, const run_id& aRun, run_end aHow,
                     const std::string& aCheckpoint, instant aNow);
@@ -421,7 +424,6 @@
   void AdvanceAcknowledged(worker_entry& aWorker);
   void HandleExpiredLeases(const std::string& aId, worker_entry& aWorker, instant aNow);
   void HandleTimeouts(instant aNow);
-  void RetryRefusedJobs(instant aNow);
   void EmitEvent(work_event_kind aKind, const std::string& aJob, std::string aTask,
                  std::string aWorker, std::string_view aReason,
                  milliseconds aAge = milliseconds{ 0 });
